--- a/src/boragespring/agent/tests/test_leaving.py
+++ b/src/boragespring/agent/tests/test_leaving.py
@@ -15,8 +15,8 @@
     LocalDeployment,
     LocalSettings,
 )
-from boragespring.platform.instances import InstanceState
 from boragespring.standins import EngineCoreSettings, EngineDialect
+from boragespring.store.instances import InstanceState
 
 TOKEN = re.compile(r" g([0-9a-f]+):(\d+)")
 HEADERS = {"Authorization": f"Bearer {LOCAL_API_KEY}"}
--- a/src/boragespring/bench/answers.py
+++ b/src/boragespring/bench/answers.py
@@ -22,12 +22,12 @@
 from boragespring.faults import FaultDeployment, fault_settings
 from boragespring.links import Dispatcher
 from boragespring.local import LOCAL_API_KEY, LOCAL_MODEL, LocalSettings
-from boragespring.platform import EtcdSettings, EtcdStore
-from boragespring.platform.store import ABSENT_REVISION
 from boragespring.settings import ClaimSettings
 from boragespring.settings.agent import AnswerSettings
 from boragespring.standins import EngineCoreSettings
 from boragespring.standins.store import StoreStandin
+from boragespring.store import EtcdSettings, EtcdStore
+from boragespring.store.store import ABSENT_REVISION
 
 __all__ = ["run"]
 
--- a/src/boragespring/bench/claim_fleet.py
+++ b/src/boragespring/bench/claim_fleet.py
@@ -21,8 +21,8 @@
 )
 from boragespring.claims.messages import CombineWrites, WritesCombined
 from boragespring.links import Dispatcher, LinkClosedError
-from boragespring.platform import Keyspace, MemoryStore
-from boragespring.platform.store import ABSENT_REVISION, ConditionalWrite
+from boragespring.store import Keyspace, MemoryStore
+from boragespring.store.store import ABSENT_REVISION, ConditionalWrite
 
 __all__ = ["ClaimFleet", "ClaimWriteFigures", "measure_claim_writes", "run"]
 
--- a/src/boragespring/bench/limit_fleet.py
+++ b/src/boragespring/bench/limit_fleet.py
@@ -19,7 +19,7 @@
 from boragespring.lists.changes import Change
 from boragespring.lists.state import EMPTY_STATE, difference
 from boragespring.membership import DutyRoster
-from boragespring.platform import Keyspace, MemoryStore
+from boragespring.store import Keyspace, MemoryStore
 
 __all__ = ["LimitFleet", "LimitNode", "PlanLimits", "replica_of"]
 
--- a/src/boragespring/bench/lists_fleet.py
+++ b/src/boragespring/bench/lists_fleet.py
@@ -32,10 +32,10 @@
 from boragespring.lists.watcher import ListsWatcher
 from boragespring.membership.entry_peers import EntryPeers
 from boragespring.metrics import LinkMetrics
-from boragespring.platform import EtcdSettings, EtcdStore
-from boragespring.platform.instances import Instance, InstanceRole
 from boragespring.settings import AddressSettings, LinkSettings
 from boragespring.standins.store import StoreStandin
+from boragespring.store import EtcdSettings, EtcdStore
+from boragespring.store.instances import Instance, InstanceRole
 
 __all__ = ["EntryPeer", "ListsFleet", "large_document"]
 
--- a/src/boragespring/bench/membership.py
+++ b/src/boragespring/bench/membership.py
@@ -34,13 +34,13 @@
 from boragespring.lists.state import EMPTY_STATE, difference
 from boragespring.membership import DutyRoster, InstanceView
 from boragespring.orders import PlanSettings, ServerState, plan_orders
-from boragespring.platform import Keyspace, MemoryStore
-from boragespring.platform.instances import Instance, InstanceRole
-from boragespring.platform.instances_http import (
+from boragespring.routing import Placement, SubsetSettings, agents_of_entry
+from boragespring.store import Keyspace, MemoryStore
+from boragespring.store.instances import Instance, InstanceRole
+from boragespring.store.instances_http import (
     instances_from_json,
     instances_to_json,
 )
-from boragespring.routing import Placement, SubsetSettings, agents_of_entry
 
 __all__ = ["SIZES", "Line", "Slopes", "load_slopes", "measure", "run", "write_slopes"]
 
--- a/src/boragespring/bench/membership_node.py
+++ b/src/boragespring/bench/membership_node.py
@@ -32,9 +32,9 @@
 from boragespring.lists.distribution import ListsDistribution
 from boragespring.membership import AgentPeers, AgentState, LeaveNotice
 from boragespring.metrics import LinkMetrics
-from boragespring.platform.instances import Instance, InstanceRole
 from boragespring.routing import AgentLoad, CacheDigest, RouterSettings
 from boragespring.settings import AddressSettings, LinkSettings
+from boragespring.store.instances import Instance, InstanceRole
 
 __all__ = ["main"]
 
--- /dev/null
+++ b/src/boragespring/catalog/__init__.py
@@ -0,0 +1,25 @@
+"""Catalog: the routes, services and workspaces that operators have set."""
+
+from boragespring.catalog.holder import CatalogHolder
+from boragespring.catalog.model import (
+    CallerLimits,
+    Catalog,
+    EngineProfile,
+    RequestKind,
+    Route,
+    Service,
+    ServiceShare,
+    Workspace,
+)
+
+__all__ = [
+    "CallerLimits",
+    "Catalog",
+    "CatalogHolder",
+    "EngineProfile",
+    "RequestKind",
+    "Route",
+    "Service",
+    "ServiceShare",
+    "Workspace",
+]
--- a/src/boragespring/claims/calls.py
+++ b/src/boragespring/claims/calls.py
@@ -22,8 +22,8 @@
 from boragespring.claims.store import ClaimStore, StoredClaim
 from boragespring.links import CallFailedError, Link, LinkClosedError, evolve
 from boragespring.membership import AgentPeer
-from boragespring.platform.store import ABSENT_REVISION
 from boragespring.settings import ClaimSettings
+from boragespring.store.store import ABSENT_REVISION
 
 __all__ = ["ClaimedCalls"]
 
--- a/src/boragespring/claims/combiner.py
+++ b/src/boragespring/claims/combiner.py
@@ -19,7 +19,7 @@
     unpack_write,
 )
 from boragespring.links import Dispatcher, Link, LinkError
-from boragespring.platform.store import (
+from boragespring.store.store import (
     ConditionalWrite,
     KeyValueStore,
     LeaseExpiredError,
--- a/src/boragespring/claims/group.py
+++ b/src/boragespring/claims/group.py
@@ -8,7 +8,7 @@
 
 from attrs import define, frozen
 
-from boragespring.platform.store import (
+from boragespring.store.store import (
     ConditionalWrite,
     StoreError,
     WriteResult,
--- a/src/boragespring/claims/packing.py
+++ b/src/boragespring/claims/packing.py
@@ -1,7 +1,7 @@
 """Conditional writes and their results as plain values of a message."""
 
 from boragespring.claims.errors import ClaimRecordError
-from boragespring.platform.store import ConditionalWrite, KeyValue, WriteResult
+from boragespring.store.store import ConditionalWrite, KeyValue, WriteResult
 
 __all__ = ["pack_result", "pack_write", "unpack_result", "unpack_write"]
 
--- a/src/boragespring/claims/store.py
+++ b/src/boragespring/claims/store.py
@@ -9,7 +9,8 @@
 from boragespring.claims.errors import ClaimStoreError
 from boragespring.claims.group import GroupWriter
 from boragespring.claims.record import ClaimRecord
-from boragespring.platform.store import (
+from boragespring.settings import ClaimSettings
+from boragespring.store.store import (
     ABSENT_REVISION,
     ConditionalWrite,
     KeyValue,
@@ -19,7 +20,6 @@
     StoreUnavailableError,
     WriteOutcomeUnknownError,
 )
-from boragespring.settings import ClaimSettings
 
 __all__ = ["ClaimStore", "StoredClaim"]
 
--- a/src/boragespring/claims/tests/test_claim_store.py
+++ b/src/boragespring/claims/tests/test_claim_store.py
@@ -7,10 +7,10 @@
 from boragespring.answers.messages import ServiceAnswered
 from boragespring.claims import ClaimStore, ClaimStoreError, GroupSettings, GroupWriter
 from boragespring.claims.record import claim_key, new_record
-from boragespring.platform import MemoryStore
-from boragespring.platform.keyspace import Keyspace
-from boragespring.platform.store import ABSENT_REVISION, ConditionalWrite
 from boragespring.settings import ClaimSettings
+from boragespring.store import MemoryStore
+from boragespring.store.keyspace import Keyspace
+from boragespring.store.store import ABSENT_REVISION, ConditionalWrite
 
 KEY = claim_key("coop", "app", "k1")
 SETTINGS = ClaimSettings(store_timeout_s=0.3, retention_s=100.0, lease_window_s=10.0)
--- a/src/boragespring/claims/tests/test_combiner.py
+++ b/src/boragespring/claims/tests/test_combiner.py
@@ -7,7 +7,7 @@
 from boragespring.bench.claim_fleet import ClaimFleet, measure_claim_writes
 from boragespring.bench.virtual_time import run_in_virtual_time
 from boragespring.claims import CombinerSettings, combiner_of
-from boragespring.platform.store import (
+from boragespring.store.store import (
     ConditionalWrite,
     LeaseExpiredError,
     WriteOutcomeUnknownError,
--- a/src/boragespring/claims/tests/test_once.py
+++ b/src/boragespring/claims/tests/test_once.py
@@ -10,7 +10,7 @@
 from boragespring.claims.record import claim_key, digest_of, new_record
 from boragespring.faults import FaultDeployment
 from boragespring.local import LOCAL_API_KEY
-from boragespring.platform.store import ABSENT_REVISION, ConditionalWrite
+from boragespring.store.store import ABSENT_REVISION, ConditionalWrite
 
 PATH = "services/app-transporte/confirmations"
 KEY = {"Idempotency-Key": "k1"}
--- a/src/boragespring/cli/__init__.py
+++ b/src/boragespring/cli/__init__.py
@@ -1,5 +1,5 @@
-"""Command line of the product."""
+"""Command line of the product.
 
-from boragespring.cli.app import app, main
-
-__all__ = ["app", "main"]
+The package itself imports nothing, so that a program of one command starts
+without the libraries of all others; the root is `boragespring.cli.app`.
+"""
--- a/src/boragespring/cli/app.py
+++ b/src/boragespring/cli/app.py
@@ -11,6 +11,7 @@
     daemons,
     demo,
     faults,
+    gateway,
     leave,
     lists,
     replay,
@@ -34,6 +35,7 @@
 daemons.add_commands(app)
 demo.add_commands(app)
 faults.add_commands(app)
+gateway.add_commands(app)
 leave.add_commands(app)
 replay.add_commands(app)
 status.add_commands(app)
--- a/src/boragespring/cli/check.py
+++ b/src/boragespring/cli/check.py
@@ -13,7 +13,6 @@
     capacity_warnings,
     structure_document,
 )
-from boragespring.platform.instances import Instance
 from boragespring.settings import (
     AgentSettings,
     EntrySettings,
@@ -22,6 +21,7 @@
     load_document,
     structure,
 )
+from boragespring.store.instances import Instance
 
 __all__ = ["FileReport", "add_commands", "check_file"]
 
--- a/src/boragespring/cli/daemons.py
+++ b/src/boragespring/cli/daemons.py
@@ -7,7 +7,9 @@
 import typer
 
 from boragespring.cli.logs import LogLevel, set_up_logs
-from boragespring.composition import build_agent, build_entry, run_daemon
+from boragespring.composition.agent import build_agent
+from boragespring.composition.entry import build_entry
+from boragespring.composition.process import run_daemon
 from boragespring.settings import AgentSettings, EntrySettings, load_settings
 
 __all__ = ["add_commands"]
--- /dev/null
+++ b/src/boragespring/cli/gateway.py
@@ -0,0 +1,51 @@
+"""Command that runs a gateway; imports little, as a restart has to be quick."""
+
+import asyncio
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from boragespring.composition.gateway import build_gateway
+from boragespring.composition.process import run_daemon
+from boragespring.decisions import DecisionLog, LogSettings, open_log_output
+from boragespring.platform.settings_file import load_gateway_settings, settings_path
+from boragespring.settings import SettingsFileError
+
+__all__ = ["add_commands", "gateway"]
+
+SettingsOption = Annotated[
+    Path | None,
+    typer.Option("--settings", help="Settings file; else the platform names it."),
+]
+
+
+def add_commands(app: typer.Typer) -> None:
+    """Add the command to the root."""
+    app.command()(gateway)
+
+
+def gateway(settings: SettingsOption = None) -> None:
+    """Run a gateway until SIGTERM; finish what runs, then exit with 0."""
+    path = settings or settings_path()
+    if path is None:
+        raise SettingsFileError("no settings file: give --settings FILE")
+    loaded = load_gateway_settings(path)
+    log_settings = LogSettings()
+    output = open_log_output(loaded.name, log_settings.queue_lines)
+
+    async def serve() -> int:
+        return await run_daemon(build_gateway(loaded, DecisionLog(log_settings)))
+
+    exit_code = asyncio.run(serve())
+    output.close()
+    raise typer.Exit(exit_code)
+
+
+def main() -> None:
+    """Run the gateway as a program of its own."""
+    typer.run(gateway)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/boragespring/cli/lists.py
+++ b/src/boragespring/cli/lists.py
@@ -40,7 +40,7 @@
     entry_change_to_json,
 )
 from boragespring.lists.state import ListsState, plain_document
-from boragespring.platform import EtcdSettings, EtcdStore, HttpInstanceList
+from boragespring.store import EtcdSettings, EtcdStore, HttpInstanceList
 
 __all__ = ["EXIT_LOST_RACE", "EXIT_NOT_IN_FORCE", "app"]
 
--- a/src/boragespring/cli/standin.py
+++ b/src/boragespring/cli/standin.py
@@ -10,7 +10,6 @@
 from boragespring.cli.logs import set_up_logs
 from boragespring.lists import structure_document
 from boragespring.local import put_lists
-from boragespring.platform.instances_http import instances_from_json
 from boragespring.settings import load_document
 from boragespring.standins import (
     EngineCoreSettings,
@@ -21,6 +20,7 @@
     ServiceStandInSettings,
 )
 from boragespring.standins.store import StoreStandin, StoreStandinSettings
+from boragespring.store.instances_http import instances_from_json
 
 __all__ = ["app"]
 
--- a/src/boragespring/cli/status.py
+++ b/src/boragespring/cli/status.py
@@ -13,9 +13,9 @@
 from rich.console import Console
 from rich.table import Table
 
-from boragespring.platform import HttpInstanceList
-from boragespring.platform.instances import Instance, InstanceListError
 from boragespring.settings import PlatformSettings, load_document, structure
+from boragespring.store import HttpInstanceList
+from boragespring.store.instances import Instance, InstanceListError
 
 __all__ = ["ProcessState", "add_commands", "doubts_of"]
 
--- a/src/boragespring/cli/tests/test_check.py
+++ b/src/boragespring/cli/tests/test_check.py
@@ -6,7 +6,7 @@
 import pytest
 from typer.testing import CliRunner
 
-from boragespring.cli import app, main
+from boragespring.cli.app import app, main
 from boragespring.cli.check import check_file
 
 EXAMPLES = Path(__file__).parents[4] / "examples"
--- a/src/boragespring/cli/tests/test_lists.py
+++ b/src/boragespring/cli/tests/test_lists.py
@@ -11,9 +11,9 @@
 from boragespring.lists.editor import Edit, ListsEditor
 from boragespring.lists.state import EMPTY_STATE, difference
 from boragespring.lists.tests.fakes import document
-from boragespring.platform import MemoryStore
-from boragespring.platform.instances import Instance, InstanceRole
 from boragespring.standins.store import StoreStandin
+from boragespring.store import MemoryStore
+from boragespring.store.instances import Instance, InstanceRole
 
 
 @pytest.fixture
--- a/src/boragespring/composition/agent_orders.py
+++ b/src/boragespring/composition/agent_orders.py
@@ -3,8 +3,8 @@
 from boragespring.engines import HttpEngineClient
 from boragespring.links import Dispatcher
 from boragespring.orders import FenceGuard, OrderReceiver, orders_duty_name
-from boragespring.platform import KeyValueStore
 from boragespring.settings import AgentSettings
+from boragespring.store import KeyValueStore
 
 __all__ = ["build_order_receiver"]
 
--- a/src/boragespring/composition/entry.py
+++ b/src/boragespring/composition/entry.py
@@ -26,8 +26,8 @@
 from boragespring.links import Dispatcher, LinkContext, LinkServer
 from boragespring.metrics import AnswerMetrics, LinkMetrics
 from boragespring.metrics.lists import ListsMetrics
-from boragespring.platform import HttpInstanceList
 from boragespring.settings import EntrySettings
+from boragespring.store import HttpInstanceList
 
 __all__ = ["build_entry"]
 
--- a/src/boragespring/composition/entry_answers.py
+++ b/src/boragespring/composition/entry_answers.py
@@ -24,8 +24,8 @@
 from boragespring.links import Dispatcher
 from boragespring.membership import AgentPeers
 from boragespring.metrics import AnswerMetrics
-from boragespring.platform.store import KeyValueStore
 from boragespring.settings import EntrySettings
+from boragespring.store.store import KeyValueStore
 
 __all__ = ["EntryAnswers", "build_answers"]
 
--- a/src/boragespring/composition/entry_claims.py
+++ b/src/boragespring/composition/entry_claims.py
@@ -10,7 +10,7 @@
 from boragespring.claims.messages import CombineWrites, WritesCombined
 from boragespring.links import Dispatcher
 from boragespring.membership.entry_peers import EntryPeers
-from boragespring.platform import Instance, KeyValueStore
+from boragespring.store import Instance, KeyValueStore
 
 __all__ = ["EntryClaimWrites"]
 
--- a/src/boragespring/composition/entry_duties.py
+++ b/src/boragespring/composition/entry_duties.py
@@ -9,8 +9,8 @@
 from boragespring.lists.model import ServiceEntry
 from boragespring.membership import AgentPeers, DutyRoster, duty_candidates
 from boragespring.orders import OrdersHolder
-from boragespring.platform import HttpWeightStore, Instance, KeyValueStore
 from boragespring.settings import EntrySettings
+from boragespring.store import HttpWeightStore, Instance, KeyValueStore
 
 __all__ = ["EntryDuties"]
 
--- a/src/boragespring/composition/entry_limits.py
+++ b/src/boragespring/composition/entry_limits.py
@@ -8,7 +8,7 @@
 from boragespring.limits.messages import ShareReply, ShareRequest
 from boragespring.links import Dispatcher, Identity
 from boragespring.membership import DutyRoster
-from boragespring.platform import Instance
+from boragespring.store import Instance
 
 __all__ = ["EntryLimits"]
 
--- a/src/boragespring/composition/entry_lists.py
+++ b/src/boragespring/composition/entry_lists.py
@@ -14,8 +14,8 @@
 )
 from boragespring.lists.watcher import ListsWatcher
 from boragespring.membership.entry_peers import EntryPeers
-from boragespring.platform import Instance, KeyValueStore
 from boragespring.settings import EntrySettings
+from boragespring.store import Instance, KeyValueStore
 
 __all__ = ["EntryLists"]
 
--- a/src/boragespring/composition/entry_membership.py
+++ b/src/boragespring/composition/entry_membership.py
@@ -5,9 +5,9 @@
 from boragespring.links import LinkContext
 from boragespring.membership import AgentPeers
 from boragespring.membership.peers import Subset
-from boragespring.platform import Instance, InstanceList
 from boragespring.routing.subset import Placement, SubsetSettings, agents_of_entry
 from boragespring.settings import EntrySettings
+from boragespring.store import Instance, InstanceList
 
 __all__ = ["build_peers", "subset_of"]
 
--- /dev/null
+++ b/src/boragespring/composition/gateway.py
@@ -0,0 +1,188 @@
+"""Wire a gateway on the users' platform."""
+
+import time
+from collections.abc import Sequence
+
+import xxhash
+from attrs import frozen
+from prometheus_client import CollectorRegistry
+
+from boragespring.catalog import CallerLimits, CatalogHolder
+from boragespring.decisions import DecisionLog
+from boragespring.fleet import Fleet, FleetSettings
+from boragespring.forwarding import (
+    Forwarder,
+    ForwardingContext,
+    JobGate,
+    JobGateSettings,
+    PlacementSettings,
+    Relocations,
+    RelocationSettings,
+    RetryBudget,
+    RetryBudgetSettings,
+    StreamForwarder,
+    StreamSettings,
+    WholeForwarder,
+    WholeSettings,
+)
+from boragespring.gateway import Gateway
+from boragespring.links import Dispatcher, Identity, Link, LinkContext, LinkServer
+from boragespring.links.messages import PROTOCOL_VERSION
+from boragespring.membership.entry_peers import EntryPeers
+from boragespring.metrics import LinkMetrics
+from boragespring.platform.followers import CatalogFeed, FleetFeed
+from boragespring.platform.front_door import FrontDoor
+from boragespring.platform.names import CATALOG_KEY, REGISTRATION_PREFIX
+from boragespring.platform.readiness import ReadinessServer
+from boragespring.platform.server_calls import HttpServerCalls, ServerCallSettings
+from boragespring.platform.store_client import PlatformStore, PlatformStoreSettings
+from boragespring.settings.gateway import GatewayBounds, GatewaySettings
+from boragespring.sharing import (
+    CopySharing,
+    CopySharingSettings,
+    LoadSharing,
+    LoadSharingSettings,
+    Presence,
+    PresenceSettings,
+)
+from boragespring.sharing.presence import PRESENCE_PREFIX
+from boragespring.store.follower import PrefixFollower
+from boragespring.store.instances import Instance, InstanceRole
+
+__all__ = ["build_gateway"]
+
+#: Most gateways that one gateway keeps links to.
+LINKS_MAX = 16
+
+
+def build_gateway(settings: GatewaySettings, log: DecisionLog) -> Gateway:
+    """Return a gateway that is ready to start."""
+    registry = CollectorRegistry()
+    holder = CatalogHolder(log)
+    fleet = Fleet(FleetSettings(), log)
+    store = PlatformStore(PlatformStoreSettings(settings.store.url))
+    calls = HttpServerCalls(ServerCallSettings())
+    gate = JobGate(holder, _gate_settings(settings.bounds))
+    peers = _build_peers(settings, registry)
+    loads = LoadSharing(fleet, peers.dispatcher, peers.links, LoadSharingSettings())
+    context = ForwardingContext(
+        fleet=fleet,
+        calls=calls,
+        budget=RetryBudget(_budget_settings(settings.bounds), peers.count),
+        log=log,
+        zone=settings.availability_zone,
+        placement=PlacementSettings(),
+        tell_loads=loads.notify,
+    )
+    forwarder = Forwarder(
+        gate=gate,
+        whole=WholeForwarder(context, WholeSettings()),
+        streamed=StreamForwarder(
+            context, Relocations(context, RelocationSettings()), StreamSettings()
+        ),
+        context=context,
+    )
+    presence = Presence(
+        store, _own_instance(settings), peers.entries.take, PresenceSettings(), log
+    )
+    followers = {
+        CATALOG_KEY: PrefixFollower(store, CATALOG_KEY, CatalogFeed(holder, log)),
+        REGISTRATION_PREFIX: PrefixFollower(
+            store, REGISTRATION_PREFIX, FleetFeed(fleet, log)
+        ),
+    }
+    presence_follower = PrefixFollower(store, PRESENCE_PREFIX, presence)
+    copies = CopySharing(followers, peers.dispatcher, CopySharingSettings(), log)
+
+    def limits() -> CallerLimits:
+        return holder.catalog.limits if holder.catalog else CallerLimits()
+
+    gateway = Gateway(
+        callers=FrontDoor(settings.callers, forwarder, limits),
+        listeners=[peers.server],
+        loops=(
+            *(follower.run for follower in followers.values()),
+            presence_follower.run,
+            presence.run,
+            copies.run,
+        ),
+        upkeep=(fleet.drop_lapsed, loads.drop_outdated),
+        closers=(presence.withdraw, store.close, calls.close),
+        gate=gate,
+        bounds=settings.bounds,
+        log=log,
+    )
+    gateway.listeners.append(ReadinessServer(settings.readiness, gateway.why_not_ready))
+    return gateway
+
+
+@frozen
+class _Peers:
+    """Links to the other gateways."""
+
+    dispatcher: Dispatcher
+    server: LinkServer
+    entries: EntryPeers
+
+    def links(self) -> list[Link]:
+        """Return the open links that this gateway has dialled."""
+        found = (self.entries.link_to(one.name) for one in self.entries.entries)
+        return [link for link in found if link is not None]
+
+    def count(self) -> int:
+        """Return the number of gateways, this one included."""
+        return max(1, len(self.entries.entries))
+
+
+def _build_peers(settings: GatewaySettings, registry: CollectorRegistry) -> _Peers:
+    dispatcher = Dispatcher()
+    own = Identity(
+        protocol_version=PROTOCOL_VERSION,
+        name=settings.name,
+        role="entry",
+        incarnation=time.time_ns(),
+        availability_zone=settings.availability_zone,
+    )
+    context = LinkContext(own, dispatcher, settings.links, LinkMetrics(registry))
+    entries = EntryPeers(context)
+    entries.add_selector(lambda: _nearest(settings, entries.entries))
+    return _Peers(dispatcher, LinkServer(settings.peers, context), entries)
+
+
+def _nearest(settings: GatewaySettings, gateways: Sequence[Instance]) -> frozenset[str]:
+    """Return the gateways to link to: those of the own zone before others."""
+    others = [one for one in gateways if one.name != settings.name]
+
+    def rank(one: Instance) -> tuple[bool, int]:
+        is_elsewhere = one.availability_zone != settings.availability_zone
+        return is_elsewhere, xxhash.xxh32_intdigest((settings.name + one.name).encode())
+
+    return frozenset(one.name for one in sorted(others, key=rank)[:LINKS_MAX])
+
+
+def _own_instance(settings: GatewaySettings) -> Instance:
+    return Instance(
+        name=settings.name,
+        role=InstanceRole.ENTRY,
+        service="",
+        region=settings.region,
+        availability_zone=settings.availability_zone,
+        host=settings.peers.host,
+        link_port=settings.peers.port,
+        http_port=0,
+    )
+
+
+def _gate_settings(bounds: GatewayBounds) -> JobGateSettings:
+    return JobGateSettings(
+        catalog_age_max_s=bounds.catalog_delay_s + bounds.catalog_delay_outage_s - 1.0,
+        unsure_age_s=bounds.catalog_delay_s,
+    )
+
+
+def _budget_settings(bounds: GatewayBounds) -> RetryBudgetSettings:
+    return RetryBudgetSettings(
+        ratio=bounds.retry_ratio,
+        slack=bounds.retry_slack,
+        window_s=bounds.retry_window_s,
+    )
--- a/src/boragespring/composition/store.py
+++ b/src/boragespring/composition/store.py
@@ -3,8 +3,8 @@
 from prometheus_client import CollectorRegistry
 
 from boragespring.metrics.store import StoreMetrics
-from boragespring.platform import BudgetedStore, BudgetSettings, EtcdSettings, EtcdStore
 from boragespring.settings import PlatformSettings
+from boragespring.store import BudgetedStore, BudgetSettings, EtcdSettings, EtcdStore
 
 __all__ = ["build_store"]
 
--- a/src/boragespring/composition/tests/test_entry_membership.py
+++ b/src/boragespring/composition/tests/test_entry_membership.py
@@ -6,8 +6,8 @@
 
 from boragespring.composition.entry_membership import subset_of
 from boragespring.membership import duty_candidates
-from boragespring.platform.instances import Instance, InstanceRole, InstanceState
 from boragespring.routing.subset import Placement, SubsetSettings
+from boragespring.store.instances import Instance, InstanceRole, InstanceState
 
 ZONES = {"north": ("n-a", "n-b", "n-c"), "south": ("s-a", "s-b")}
 PLACES = [(region, zone) for region, zones in ZONES.items() for zone in zones]
--- a/src/boragespring/composition/tests/test_recovery.py
+++ b/src/boragespring/composition/tests/test_recovery.py
@@ -17,8 +17,8 @@
 )
 from boragespring.membership.duties import DUTY_PREFIX
 from boragespring.orders import orders_duty_name
-from boragespring.platform.instances import InstanceRole
 from boragespring.standins import EngineCoreSettings, EngineDialect
+from boragespring.store.instances import InstanceRole
 
 HEADERS = {"Authorization": f"Bearer {LOCAL_API_KEY}"}
 TOKENS = 40
--- a/src/boragespring/faults/deployment.py
+++ b/src/boragespring/faults/deployment.py
@@ -8,12 +8,12 @@
 import aiohttp
 
 from boragespring.agent import AgentDaemon
-from boragespring.composition import build_agent, build_entry
+from boragespring.composition.agent import build_agent
+from boragespring.composition.entry import build_entry
 from boragespring.entry import EntryDaemon
 from boragespring.faults.hosting import HostedDaemon
 from boragespring.faults.relay import Relay
 from boragespring.local import LocalAccounts, LocalDeployment, LocalSettings
-from boragespring.platform.instances import InstanceRole
 from boragespring.settings import (
     CallerSettings,
     ClaimSettings,
@@ -26,6 +26,7 @@
     EngineDialect,
     ServiceStandInSettings,
 )
+from boragespring.store.instances import InstanceRole
 
 __all__ = ["FaultDeployment", "fault_settings"]
 
--- /dev/null
+++ b/src/boragespring/forwarding/jobs.py
@@ -0,0 +1,176 @@
+"""Turn a caller's request into a job, or refuse it."""
+
+import random
+import time
+from collections.abc import Callable
+
+from attrs import frozen
+
+from boragespring.catalog import Catalog, CatalogHolder, Route, Service
+from boragespring.forwarding.messages import (
+    Attempt,
+    CallerRequest,
+    Refusal,
+    RefusalReason,
+    ResumePoint,
+)
+
+__all__ = ["Job", "JobGate", "JobGateSettings"]
+
+URGENCY_MAX = 9
+
+
+@frozen
+class JobGateSettings:
+    """When the gate trusts the catalog.
+
+    Parameters
+    ----------
+    catalog_age_max_s : float
+        Age from which no request is served by a catalog, as it may allow what
+        a newer one does not.
+    unsure_age_s : float
+        Age from which an unknown route or key is not said to be unknown, as a
+        newer catalog may have it.
+    retry_after_s : float
+        When a repeat reaches another gateway or a newer catalog.
+    """
+
+    catalog_age_max_s: float = 6.0
+    unsure_age_s: float = 1.5
+    retry_after_s: float = 0.2
+
+
+@frozen
+class Job:
+    """Request that the catalog allows.
+
+    Parameters
+    ----------
+    request : CallerRequest
+        The request.
+    route : Route
+        Route that it takes.
+    service : Service
+        Service that answers it.
+    workspace : str
+        Workspace of the caller; empty for a public route.
+    urgency : int
+        Rank, 0 the most urgent.
+    deadline_s : float
+        Monotonic time of the final answer.
+    catalog_version : int
+        Version that allowed it.
+    """
+
+    request: CallerRequest
+    route: Route
+    service: Service
+    workspace: str
+    urgency: int
+    deadline_s: float
+    catalog_version: int
+
+    @property
+    def request_id(self) -> str:
+        """Identity of the request."""
+        return self.request.request_id
+
+    def attempt(self, resume: ResumePoint | None = None) -> Attempt:
+        """Return a dispatch of the job."""
+        return Attempt(
+            request=self.request,
+            workspace=self.workspace,
+            deadline_s=self.deadline_s,
+            urgency=self.urgency if self.service.engine is not None else None,
+            resume=resume,
+        )
+
+
+class JobGate:
+    """Check requests against the catalog in force.
+
+    Parameters
+    ----------
+    holder : CatalogHolder
+        Catalog in force and its age.
+    settings : JobGateSettings
+        Trust in the catalog.
+    chance : random.Random
+        Chooses among the services of a split route.
+    clock : callable, default=time.monotonic
+        Source of time in seconds.
+    """
+
+    def __init__(
+        self,
+        holder: CatalogHolder,
+        settings: JobGateSettings,
+        chance: random.Random | None = None,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._holder = holder
+        self._settings = settings
+        self._chance = chance or random.Random()
+        self._clock = clock
+
+    @property
+    def is_catalog_usable(self) -> bool:
+        """Whether requests can be served by the catalog in force."""
+        return (
+            self._holder.catalog is not None
+            and self._holder.age_s <= self._settings.catalog_age_max_s
+        )
+
+    def admit(self, request: CallerRequest) -> Job | Refusal:
+        """Return the job of a request, or why there is none."""
+        catalog = self._holder.catalog
+        if catalog is None:
+            return self._refuse_for_now(RefusalReason.NO_CATALOG)
+        if not self.is_catalog_usable:
+            return self._refuse_for_now(RefusalReason.STALE_CATALOG)
+        route = catalog.find_route(request.host, request.path)
+        if route is None:
+            return self._refuse_unknown(RefusalReason.NO_ROUTE)
+        workspace, priority = "", None
+        if catalog.needs_key(route):
+            found = catalog.find_workspace(request.credential)
+            if found is None:
+                return self._refuse_unknown(RefusalReason.UNKNOWN_KEY)
+            workspace, priority = found.name, found.priority
+        return self._job(request, catalog, route, workspace, priority)
+
+    def _job(
+        self,
+        request: CallerRequest,
+        catalog: Catalog,
+        route: Route,
+        workspace: str,
+        priority: int | None,
+    ) -> Job | Refusal:
+        weights = [share.weight for share in route.shares]
+        name = self._chance.choices(route.shares, weights)[0].service
+        service = catalog.services.get(name)
+        if service is None:
+            return self._refuse_for_now(RefusalReason.NO_SERVER)
+        rank = route.priority if priority is None else priority
+        deadline_s = min(request.deadline_s, request.arrived_at_s + route.timeout_s)
+        if deadline_s <= self._clock():
+            return Refusal(RefusalReason.TOO_LATE, was_not_run=True)
+        return Job(
+            request=request,
+            route=route,
+            service=service,
+            workspace=workspace,
+            urgency=min(max(rank, 0), URGENCY_MAX),
+            deadline_s=deadline_s,
+            catalog_version=catalog.version,
+        )
+
+    def _refuse_unknown(self, reason: RefusalReason) -> Refusal:
+        if self._holder.age_s > self._settings.unsure_age_s:
+            return self._refuse_for_now(RefusalReason.STALE_CATALOG)
+        return Refusal(reason, was_not_run=True)
+
+    def _refuse_for_now(self, reason: RefusalReason) -> Refusal:
+        return Refusal(reason, True, self._settings.retry_after_s)
--- /dev/null
+++ b/src/boragespring/forwarding/running.py
@@ -0,0 +1,92 @@
+"""A stream on its way, as the carrier and the mover of its run share it."""
+
+import asyncio
+
+from attrs import define, field, frozen
+
+from boragespring.fleet import BackendServer
+from boragespring.fleet.model import RunLoad
+from boragespring.forwarding.jobs import Job
+
+__all__ = ["Handover", "RunningStream"]
+
+
+@frozen
+class Handover:
+    """Place where a stopped run goes on."""
+
+    source: BackendServer
+    target: BackendServer
+    copy_id: str
+
+
+@define(eq=False)
+class RunningStream:
+    """Progress of one stream.
+
+    Parameters
+    ----------
+    job : Job
+        The request.
+    server : BackendServer
+        Server that runs it now.
+    refused_by : set of str
+        Servers that had no room for it since it last moved.
+    """
+
+    job: Job
+    server: BackendServer
+    last_event_id: str = ""
+    events: int = 0
+    moves: int = 0
+    handover: asyncio.Future[Handover | None] | None = None
+    refused_by: set[str] = field(factory=set)
+    load: RunLoad = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Take over the load that the dispatch has entered."""
+        self.load = self.server.runs[self.job.request_id]
+
+    @property
+    def tokens_per_event(self) -> int:
+        """Tokens that one event holds."""
+        engine = self.job.service.engine
+        return engine.tokens_per_event if engine is not None else 1
+
+    @property
+    def is_started(self) -> bool:
+        """Whether the first event has arrived."""
+        return self.events > 0
+
+    @property
+    def memory_tokens(self) -> int:
+        """Tokens that the run holds in its server's memory now."""
+        return self.load.prompt_tokens + self.load.produced_tokens
+
+    @property
+    def tokens_left(self) -> float:
+        """Tokens that are still expected."""
+        return max(0.0, self.load.output_tokens - self.load.produced_tokens)
+
+    def note_event(self, event_id: str) -> bool:
+        """Count an event; return False when the caller already has it."""
+        if event_id and not _is_later(event_id, self.last_event_id):
+            return False
+        if event_id:
+            self.last_event_id = event_id
+        self.events += 1
+        self.load.produced_tokens += self.tokens_per_event
+        return True
+
+    def moved_to(self, target: BackendServer) -> None:
+        """Note that the run goes on elsewhere."""
+        self.server = target
+        self.handover = None
+        self.refused_by.clear()
+        self.moves += 1
+
+
+def _is_later(event_id: str, last_event_id: str) -> bool:
+    if not (event_id.isdecimal() and last_event_id.isdecimal()):
+        return event_id != last_event_id
+    return int(event_id) > int(last_event_id)
--- /dev/null
+++ b/src/boragespring/forwarding/streamed.py
@@ -0,0 +1,333 @@
+"""Forward a stream; it may go on at another server when its own leaves."""
+
+import asyncio
+import time
+from enum import Enum, auto
+
+from attrs import define, field, frozen
+
+from boragespring.fleet import BackendServer
+from boragespring.fleet.model import RunLoad
+from boragespring.forwarding.context import ForwardingContext
+from boragespring.forwarding.errors import (
+    ReplyBrokenError,
+    ReplyLostError,
+    ServerUnreachableError,
+)
+from boragespring.forwarding.events import EventSplitter
+from boragespring.forwarding.jobs import Job
+from boragespring.forwarding.messages import (
+    CallerReply,
+    PromptShape,
+    Refusal,
+    RefusalReason,
+    ResumePoint,
+    ServerReply,
+)
+from boragespring.forwarding.placement import (
+    EngineLoad,
+    PlacementView,
+    ServiceCall,
+    choose_server,
+)
+from boragespring.forwarding.relocation import Relocations
+from boragespring.forwarding.running import Handover, RunningStream
+
+__all__ = ["StreamForwarder", "StreamOutcome", "StreamSettings"]
+
+_NO_PROMPT = PromptShape(0, 0)
+
+
+@frozen
+class StreamSettings:
+    """How a stream is tried.
+
+    Parameters
+    ----------
+    sends_max : int
+        Most servers that are asked, with those that refuse.
+    handover_wait_s : float
+        Longest wait for the end of a move after the stream has stopped.
+    body_max_bytes : int
+        Largest reply without events that is held back.
+    retry_after_s : float
+        When to come back after a refusal.
+    """
+
+    sends_max: int = 4
+    handover_wait_s: float = 2.5
+    body_max_bytes: int = 2**20
+    retry_after_s: float = 0.3
+
+
+class StreamEnd(Enum):
+    """How a stream ended towards the caller."""
+
+    COMPLETE = auto()
+    CUT = auto()
+
+
+@frozen
+class StreamOutcome:
+    """What became of a stream that was started, for the log."""
+
+    end: StreamEnd
+    reason: str
+    events: int
+    moves: int
+
+
+@define
+class _Sends:
+    """Servers that were asked so far."""
+
+    avoided: set[str] = field(factory=set)
+    count: int = 0
+
+
+@frozen
+class _Opened:
+    """Reply that has begun at a server."""
+
+    server: BackendServer
+    reply: ServerReply
+
+
+class StreamForwarder:
+    """Carry streams from backend servers to callers."""
+
+    def __init__(
+        self,
+        context: ForwardingContext,
+        relocations: Relocations,
+        settings: StreamSettings,
+    ) -> None:
+        self._context = context
+        self._relocations = relocations
+        self._settings = settings
+
+    async def forward(self, job: Job, caller: CallerReply) -> StreamOutcome | Refusal:
+        """Carry a stream to its end; return a refusal when nothing was sent."""
+        try:
+            async with asyncio.timeout_at(job.deadline_s):
+                opened = await self._open(job)
+        except TimeoutError:
+            return Refusal(RefusalReason.TIMED_OUT, was_not_run=False)
+        if isinstance(opened, Refusal):
+            return opened
+        head = opened.reply.head
+        if not head.is_success:
+            return await self._pass_failure(job, opened, caller)
+        return await self._carry(job, opened, caller)
+
+    async def _open(self, job: Job) -> _Opened | Refusal:
+        """Send the request until a server takes it."""
+        sends = _Sends()
+        while True:
+            server = self._choose(job, sends)
+            if server is None:
+                return self._refuse(RefusalReason.NO_SERVER)
+            if sends.count and not self._context.budget.take(job.service.name):
+                return self._refuse(RefusalReason.OVERLOADED)
+            sends.count += 1
+            sends.avoided.add(server.server_id)
+            opened = await self._send(job, server)
+            if isinstance(opened, _Opened | Refusal):
+                return opened
+            self._context.log.request(
+                "try_again",
+                job.request_id,
+                server=server.server_id,
+                sends=sends.count,
+                outcome=opened,
+            )
+            if sends.count >= self._settings.sends_max:
+                return self._refuse(RefusalReason.OVERLOADED)
+
+    def _choose(self, job: Job, sends: _Sends) -> BackendServer | None:
+        engine = job.service.engine
+        prompt = job.request.prompt or _NO_PROMPT
+        load = ServiceCall() if engine is None else EngineLoad(prompt, engine)
+        now_s = time.monotonic()
+        view = PlacementView(
+            servers=self._context.fleet.candidates(job.service.name),
+            zone=self._context.zone,
+            now_s=now_s,
+            avoided=sends.avoided,
+        )
+        server = choose_server(load, view, self._context.placement)
+        if server is not None:
+            self._context.log.request(
+                "placed",
+                job.request_id,
+                server=server.server_id,
+                open_runs=server.open_runs,
+                memory_tokens=round(server.memory_tokens),
+                prefill_tokens=round(server.prefill_tokens),
+                catalog_version=job.catalog_version,
+            )
+        return server
+
+    async def _send(self, job: Job, server: BackendServer) -> _Opened | Refusal | str:
+        """Send to one server; a text says why it surely did not run there."""
+        prompt = job.request.prompt or _NO_PROMPT
+        server.runs[job.request_id] = RunLoad(
+            prompt.prompt_tokens, prompt.output_tokens, time.monotonic()
+        )
+        self._context.tell_loads()
+        is_open = False
+        try:
+            reply = await self._context.calls.send(server, job.attempt())
+            head = reply.head
+            if head.was_not_run or head.is_other_server:
+                reply.close()
+                return f"not run, status {head.status}"
+            if head.request_id and head.request_id != job.request_id:
+                reply.close()
+                self._context.fleet.note_failure(server, "reply to another request")
+                return Refusal(RefusalReason.REPLY_LOST, was_not_run=False)
+            is_open = True
+            return _Opened(server, reply)
+        except ServerUnreachableError as error:
+            self._context.fleet.note_failure(server, str(error))
+            return f"unreachable: {error}"
+        except ReplyLostError as error:
+            self._context.fleet.note_failure(server, str(error))
+            return Refusal(RefusalReason.REPLY_LOST, was_not_run=False)
+        finally:
+            if not is_open:
+                self._context.fleet.run_ended(server, job.request_id)
+
+    async def _pass_failure(
+        self, job: Job, opened: _Opened, caller: CallerReply
+    ) -> StreamOutcome | Refusal:
+        """Pass on a server's own failure as a whole."""
+        body = bytearray()
+        try:
+            async with asyncio.timeout_at(job.deadline_s):
+                async for chunk in opened.reply.chunks():
+                    body += chunk
+                    if len(body) > self._settings.body_max_bytes:
+                        break
+        except (ReplyBrokenError, TimeoutError):
+            return Refusal(RefusalReason.REPLY_LOST, was_not_run=False)
+        finally:
+            opened.reply.close()
+            self._context.fleet.run_ended(opened.server, job.request_id)
+        await caller.send_whole(opened.reply.head, bytes(body))
+        return StreamOutcome(StreamEnd.COMPLETE, f"{opened.reply.head.status}", 0, 0)
+
+    async def _carry(
+        self, job: Job, opened: _Opened, caller: CallerReply
+    ) -> StreamOutcome | Refusal:
+        head = opened.reply.head
+        if not head.is_signed or head.is_encoded:
+            opened.reply.close()
+            self._context.fleet.run_ended(opened.server, job.request_id)
+            return Refusal(RefusalReason.REPLY_LOST, was_not_run=False)
+        stream = RunningStream(job, opened.server)
+        carrier = _Carrier(self._context, self._settings, stream, caller)
+        self._relocations.add(stream)
+        try:
+            async with asyncio.timeout_at(job.deadline_s):
+                await caller.start(head)
+                reason = await carrier.carry(opened.reply)
+        except TimeoutError:
+            reason = "time is up"
+        except ReplyLostError as error:
+            reason = str(error)
+        finally:
+            self._relocations.remove(stream)
+            carrier.close()
+        if reason:
+            caller.abort()
+            return StreamOutcome(StreamEnd.CUT, reason, stream.events, stream.moves)
+        await caller.finish()
+        return StreamOutcome(StreamEnd.COMPLETE, "", stream.events, stream.moves)
+
+    def _refuse(self, reason: RefusalReason) -> Refusal:
+        return Refusal(reason, True, self._settings.retry_after_s)
+
+
+class _Carrier:
+    """Carry the events of one stream over the moves of its run."""
+
+    def __init__(
+        self,
+        context: ForwardingContext,
+        settings: StreamSettings,
+        stream: RunningStream,
+        caller: CallerReply,
+    ) -> None:
+        self._context = context
+        self._settings = settings
+        self._stream = stream
+        self._caller = caller
+        self._reply: ServerReply | None = None
+
+    async def carry(self, reply: ServerReply) -> str:
+        """Carry until the end; return an empty text, or why it was cut."""
+        while True:
+            self._reply = reply
+            try:
+                await self._pump(reply)
+                return ""
+            except ReplyBrokenError as error:
+                broken = str(error)
+            reply.close()
+            handover = await self._wait_handover()
+            if handover is None:
+                self._context.fleet.note_failure(self._stream.server, broken)
+                return broken
+            reply = await self._resume(handover)
+
+    def close(self) -> None:
+        """End the run at its server unless it has ended."""
+        if self._reply is not None:
+            self._reply.close()
+        stream = self._stream
+        self._context.fleet.run_ended(stream.server, stream.job.request_id)
+
+    async def _pump(self, reply: ServerReply) -> None:
+        splitter = EventSplitter()
+        async for chunk in reply.chunks():
+            for event in splitter.feed(chunk):
+                if self._stream.note_event(event.event_id):
+                    await self._caller.write(event.data)
+        if splitter.rest:
+            # A reply that ended properly is passed on to the last byte.
+            await self._caller.write(splitter.rest)
+
+    async def _wait_handover(self) -> Handover | None:
+        pending = self._stream.handover
+        if pending is None:
+            return None
+        try:
+            async with asyncio.timeout(self._settings.handover_wait_s):
+                return await asyncio.shield(pending)
+        except TimeoutError:
+            return None
+
+    async def _resume(self, handover: Handover) -> ServerReply:
+        stream = self._stream
+        job = stream.job
+        point = ResumePoint(
+            handover.source.address, handover.copy_id, stream.last_event_id
+        )
+        self._context.fleet.run_ended(stream.server, job.request_id)
+        stream.moved_to(handover.target)
+        handover.target.runs[job.request_id] = stream.load
+        reply = await self._context.calls.send(handover.target, job.attempt(point))
+        head = reply.head
+        self._context.log.request(
+            "resumed",
+            job.request_id,
+            source=handover.source.server_id,
+            target=handover.target.server_id,
+            after_event=stream.last_event_id,
+            status=head.status,
+        )
+        if not head.is_success or head.was_not_run:
+            reply.close()
+            raise ReplyLostError(f"status {head.status} where the run should go on")
+        return reply
--- a/src/boragespring/lists/distribution.py
+++ b/src/boragespring/lists/distribution.py
@@ -23,7 +23,7 @@
 from boragespring.lists.messages import ListsAnnounce, ListsPull, ListsUpdate
 from boragespring.lists.replica import ListsReplica
 from boragespring.lists.state import ListsState
-from boragespring.platform.instances import InstanceRole
+from boragespring.store.instances import InstanceRole
 
 __all__ = ["DistributionCounters", "DistributionSettings", "ListsDistribution"]
 
--- a/src/boragespring/lists/editor.py
+++ b/src/boragespring/lists/editor.py
@@ -13,7 +13,7 @@
     ListsUnavailableError,
 )
 from boragespring.lists.state import EMPTY_STATE, ListsState
-from boragespring.platform import (
+from boragespring.store import (
     ConditionalWrite,
     KeyValue,
     KeyValueStore,
@@ -23,7 +23,7 @@
     WriteResult,
     write_settled,
 )
-from boragespring.platform.store import ABSENT_REVISION
+from boragespring.store.store import ABSENT_REVISION
 
 __all__ = ["LISTS_KEY", "Edit", "ListsEditor", "StoredLists", "stored_from_item"]
 
--- a/src/boragespring/lists/follower.py
+++ b/src/boragespring/lists/follower.py
@@ -11,8 +11,8 @@
 from boragespring.lists.distribution import ListsDistribution
 from boragespring.lists.errors import ListsError
 from boragespring.lists.watcher import ListsWatcher
-from boragespring.platform import StoreError
-from boragespring.platform.instances import Instance
+from boragespring.store import StoreError
+from boragespring.store.instances import Instance
 
 __all__ = ["FollowerSettings", "ListsFollower", "upstreams_of", "watchers_of_zone"]
 
--- a/src/boragespring/lists/in_force.py
+++ b/src/boragespring/lists/in_force.py
@@ -4,7 +4,7 @@
 
 import aiohttp
 
-from boragespring.platform import Instance, InstanceList, InstanceListError
+from boragespring.store import Instance, InstanceList, InstanceListError
 
 __all__ = ["wait_in_force"]
 
--- a/src/boragespring/lists/tests/fakes.py
+++ b/src/boragespring/lists/tests/fakes.py
@@ -5,7 +5,7 @@
 import time
 
 from boragespring.lists import ListsDocument, hash_api_key, parse_document
-from boragespring.platform import (
+from boragespring.store import (
     MemoryStore,
     StoreUnavailableError,
     WriteOutcomeUnknownError,
--- a/src/boragespring/lists/tests/test_distribution.py
+++ b/src/boragespring/lists/tests/test_distribution.py
@@ -23,9 +23,9 @@
 from boragespring.lists.watcher import ListsWatcher, WatcherSettings
 from boragespring.membership.entry_peers import EntryPeers
 from boragespring.metrics import LinkMetrics
-from boragespring.platform import Keyspace, MemoryStore
-from boragespring.platform.instances import Instance, InstanceRole
 from boragespring.settings import AddressSettings, LinkSettings
+from boragespring.store import Keyspace, MemoryStore
+from boragespring.store.instances import Instance, InstanceRole
 
 LINKS = LinkSettings(
     heartbeat_interval_s=0.05, heartbeat_deadline_s=1.0, reconnect_delay_s=0.01
--- a/src/boragespring/lists/tests/test_store_side.py
+++ b/src/boragespring/lists/tests/test_store_side.py
@@ -30,7 +30,7 @@
 from boragespring.lists.state import EMPTY_STATE, ListsState, difference
 from boragespring.lists.tests.fakes import ChaosStore, document, until
 from boragespring.lists.watcher import ListsWatcher, WatcherSettings
-from boragespring.platform import (
+from boragespring.store import (
     ConditionalWrite,
     Keyspace,
     MemoryStore,
--- a/src/boragespring/lists/watcher.py
+++ b/src/boragespring/lists/watcher.py
@@ -17,7 +17,7 @@
 from boragespring.lists.errors import ListsError
 from boragespring.lists.lineage import Order, joined
 from boragespring.lists.replica import ListsReplica
-from boragespring.platform import KeyValueStore, StoreError
+from boragespring.store import KeyValueStore, StoreError
 
 __all__ = ["ListsWatcher", "WatcherCounters", "WatcherSettings"]
 
--- a/src/boragespring/local/deployment.py
+++ b/src/boragespring/local/deployment.py
@@ -7,7 +7,8 @@
 from attrs import Factory, evolve, frozen
 
 from boragespring.agent import AgentDaemon
-from boragespring.composition import build_agent, build_entry
+from boragespring.composition.agent import build_agent
+from boragespring.composition.entry import build_entry
 from boragespring.entry import EntryDaemon
 from boragespring.lists import ListsDocument
 from boragespring.local.lists import (
@@ -16,7 +17,6 @@
     LocalAccounts,
     put_lists,
 )
-from boragespring.platform.instances import Instance, InstanceRole, InstanceState
 from boragespring.settings import (
     AddressSettings,
     AgentSettings,
@@ -39,6 +39,7 @@
     ServiceStandInSettings,
 )
 from boragespring.standins.store import StoreStandin, StoreStandinSettings
+from boragespring.store.instances import Instance, InstanceRole, InstanceState
 
 __all__ = ["LocalDeployment", "LocalSettings"]
 
--- a/src/boragespring/local/lists.py
+++ b/src/boragespring/local/lists.py
@@ -13,8 +13,8 @@
 )
 from boragespring.lists.editor import Edit, ListsEditor
 from boragespring.lists.state import EMPTY_STATE, difference
-from boragespring.platform import MemoryStore
-from boragespring.platform.keyspace import Keyspace
+from boragespring.store import MemoryStore
+from boragespring.store.keyspace import Keyspace
 
 __all__ = [
     "LOCAL_API_KEY",
--- a/src/boragespring/local/tests/test_lists_in_force.py
+++ b/src/boragespring/local/tests/test_lists_in_force.py
@@ -15,7 +15,7 @@
     LocalSettings,
     local_document,
 )
-from boragespring.platform import MemoryStore
+from boragespring.store import MemoryStore
 
 
 async def ask(session, url, key, **headers):
--- a/src/boragespring/membership/candidates.py
+++ b/src/boragespring/membership/candidates.py
@@ -4,7 +4,7 @@
 
 import xxhash
 
-from boragespring.platform.instances import Instance, InstanceState
+from boragespring.store.instances import Instance, InstanceState
 
 __all__ = ["CANDIDATES_COUNT", "duty_candidates"]
 
--- a/src/boragespring/membership/duties.py
+++ b/src/boragespring/membership/duties.py
@@ -14,7 +14,7 @@
 from absl import logging
 from attrs import Factory, define, frozen
 
-from boragespring.platform.store import KeyValue
+from boragespring.store.store import KeyValue
 
 __all__ = ["DUTY_PREFIX", "Duty", "DutySettings", "LeaseState", "lease_clock"]
 
--- a/src/boragespring/membership/entry_peers.py
+++ b/src/boragespring/membership/entry_peers.py
@@ -6,7 +6,7 @@
 from attrs import define
 
 from boragespring.links import Link, LinkContext, LinkDialer
-from boragespring.platform.instances import Instance, InstanceRole, InstanceState
+from boragespring.store.instances import Instance, InstanceRole, InstanceState
 
 __all__ = ["EntryPeers", "EntrySelector"]
 
--- a/src/boragespring/membership/peer.py
+++ b/src/boragespring/membership/peer.py
@@ -6,7 +6,7 @@
 
 from boragespring.links import Link, LinkDialer
 from boragespring.membership.messages import AgentState
-from boragespring.platform.instances import Instance, InstanceState
+from boragespring.store.instances import Instance, InstanceState
 
 __all__ = ["AgentPeer"]
 
--- a/src/boragespring/membership/peers.py
+++ b/src/boragespring/membership/peers.py
@@ -18,7 +18,7 @@
 from boragespring.membership.messages import AgentState, LeaveNotice
 from boragespring.membership.peer import AgentPeer
 from boragespring.membership.view import InstanceView
-from boragespring.platform.instances import (
+from boragespring.store.instances import (
     Instance,
     InstanceList,
     InstanceListError,
--- a/src/boragespring/membership/roster.py
+++ b/src/boragespring/membership/roster.py
@@ -16,7 +16,7 @@
     LeaseState,
     lease_clock,
 )
-from boragespring.platform.store import (
+from boragespring.store.store import (
     ABSENT_REVISION,
     ConditionalWrite,
     KeyValue,
--- a/src/boragespring/membership/tests/test_duties.py
+++ b/src/boragespring/membership/tests/test_duties.py
@@ -8,9 +8,9 @@
 
 from boragespring.bench.virtual_time import run_in_virtual_time
 from boragespring.membership import DutyRoster, DutySettings
-from boragespring.platform import Keyspace, MemoryStore, StoreFaults
-from boragespring.platform.etcd import MAX_WRITES_PER_CALL
-from boragespring.platform.store import WriteOutcomeUnknownError
+from boragespring.store import Keyspace, MemoryStore, StoreFaults
+from boragespring.store.etcd import MAX_WRITES_PER_CALL
+from boragespring.store.store import WriteOutcomeUnknownError
 
 TTL_S = 6.0
 
--- a/src/boragespring/membership/tests/test_peers.py
+++ b/src/boragespring/membership/tests/test_peers.py
@@ -11,13 +11,13 @@
 from boragespring.links.messages import PROTOCOL_VERSION
 from boragespring.membership import AgentPeers, AgentState, LeaveNotice
 from boragespring.metrics import LinkMetrics
-from boragespring.platform.instances import (
+from boragespring.settings import AddressSettings, LinkSettings
+from boragespring.store.instances import (
     Instance,
     InstanceListError,
     InstanceRole,
     InstanceState,
 )
-from boragespring.settings import AddressSettings, LinkSettings
 
 LINKS = LinkSettings(
     heartbeat_interval_s=0.05, heartbeat_deadline_s=0.5, reconnect_delay_s=0.01
--- a/src/boragespring/membership/tests/test_view.py
+++ b/src/boragespring/membership/tests/test_view.py
@@ -4,7 +4,7 @@
 from attrs import evolve
 
 from boragespring.membership.view import InstanceView, ViewSettings
-from boragespring.platform.instances import Instance, InstanceRole, InstanceState
+from boragespring.store.instances import Instance, InstanceRole, InstanceState
 
 AGENT, ENTRY = InstanceRole.AGENT, InstanceRole.ENTRY
 
--- a/src/boragespring/membership/view.py
+++ b/src/boragespring/membership/view.py
@@ -7,7 +7,7 @@
 from absl import logging
 from attrs import define, frozen
 
-from boragespring.platform.instances import Instance, InstanceRole, InstanceState
+from boragespring.store.instances import Instance, InstanceRole, InstanceState
 
 __all__ = ["InstanceView", "ViewCounters", "ViewSettings"]
 
--- a/src/boragespring/orders/fencing.py
+++ b/src/boragespring/orders/fencing.py
@@ -2,7 +2,7 @@
 
 from boragespring.membership.duties import DUTY_PREFIX
 from boragespring.orders.errors import OrderNotTakenError, RefusalCode
-from boragespring.platform.store import KeyValueStore, StoreError
+from boragespring.store.store import KeyValueStore, StoreError
 
 __all__ = ["FenceGuard", "orders_duty_name"]
 
--- a/src/boragespring/orders/holder.py
+++ b/src/boragespring/orders/holder.py
@@ -29,7 +29,7 @@
     plan_orders,
 )
 from boragespring.orders.retries import OrderRetries, RetrySettings
-from boragespring.platform.weights import (
+from boragespring.store.weights import (
     WeightStore,
     WeightStoreBusyError,
     WeightStoreError,
--- a/src/boragespring/orders/tests/fakes.py
+++ b/src/boragespring/orders/tests/fakes.py
@@ -18,7 +18,7 @@
     orders_duty_name,
 )
 from boragespring.orders.messages import SendOrder
-from boragespring.platform import MemoryStore, StoreFaults, WeightStoreBusyError
+from boragespring.store import MemoryStore, StoreFaults, WeightStoreBusyError
 
 REGION, SERVICE = "vysocina", "model-pool"
 DUTY = orders_duty_name(REGION, SERVICE)
--- a/src/boragespring/orders/tests/test_orders.py
+++ b/src/boragespring/orders/tests/test_orders.py
@@ -30,7 +30,7 @@
     Weights,
     ready_counts,
 )
-from boragespring.platform import ConditionalWrite, Keyspace, MemoryStore
+from boragespring.store import ConditionalWrite, Keyspace, MemoryStore
 
 SETTINGS = PlanSettings()
 
--- /dev/null
+++ b/src/boragespring/platform/names.py
@@ -0,0 +1,84 @@
+"""Names that the platform gives to headers, calls, keys and words."""
+
+from typing import Final
+
+__all__ = [
+    "CALLER_HEADERS_DROPPED",
+    "CATALOG_KEY",
+    "CONNECTION_HEADERS",
+    "REGISTRATION_PREFIX",
+    "SETTINGS_PATH_VARIABLE",
+]
+
+SETTINGS_PATH_VARIABLE: Final = "BORAGESPRING_NODE_FILE"
+
+CATALOG_KEY: Final = "op/config"
+REGISTRATION_PREFIX: Final = "servers/"
+READY_PATH: Final = "/readiness"
+
+# Headers of a caller's request.
+REQUEST_ID: Final = "Boragespring-Attempt-Id"
+REMAINING_MS: Final = "Boragespring-Time-Remaining"
+CREDENTIAL: Final = "Boragespring-Credential"
+MODEL: Final = "Boragespring-Model"
+#: Prompt tokens and the most output tokens, as ``"1460,80"``.
+TOKEN_COUNTS: Final = "Boragespring-Token-Counts"
+#: Parts of the prompt in order, as ``"ID:TOKENS,ID:TOKENS"``.
+PROMPT_PARTS: Final = "Boragespring-Prompt-Prefix"
+OUTPUT_HINT: Final = "Boragespring-Length-Hint"
+LAST_EVENT_ID: Final = "Last-Event-Id"
+
+# Headers that only this system sets.
+WORKSPACE: Final = "Boragespring-Tenant"
+EXPECTED_SERVER: Final = "Boragespring-Expected-Instance"
+EXPECTED_VERSION: Final = "Boragespring-Expected-Version"
+URGENCY: Final = "Boragespring-Request-Urgency"
+RESERVATION: Final = "Boragespring-Hold"
+RETAIN_MS: Final = "Boragespring-Pin-Duration"
+BACKUP_TARGET: Final = "Boragespring-Kv-Cache-Backup"
+COPY_SOURCE: Final = "Kv-From"
+FETCH_SOURCE: Final = "Kv-Fetch"
+
+# Headers of a backend server's reply.
+SIGNATURE: Final = "Boragespring-Response-Signature"
+NOT_RUN: Final = "Boragespring-Not-Executed"
+SERVER_ID: Final = "Boragespring-Instance-Id"
+#: Running, waiting and slots, as ``"3,0,8"``.
+SERVER_LOAD: Final = "Boragespring-Server-Load"
+RETRY_AFTER: Final = "Retry-After"
+
+#: Headers that concern one connection only, in lower case.
+CONNECTION_HEADERS: Final = frozenset(
+    (
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "expect",
+    )
+)
+
+#: Headers of a caller that never reach a backend server, in lower case.
+CALLER_HEADERS_DROPPED: Final = CONNECTION_HEADERS | frozenset(
+    name.lower()
+    for name in (
+        CREDENTIAL,
+        REMAINING_MS,
+        WORKSPACE,
+        EXPECTED_SERVER,
+        EXPECTED_VERSION,
+        URGENCY,
+        RESERVATION,
+        RETAIN_MS,
+        BACKUP_TARGET,
+        COPY_SOURCE,
+        FETCH_SOURCE,
+        LAST_EVENT_ID,
+    )
+)
--- /dev/null
+++ b/src/boragespring/platform/readiness.py
@@ -0,0 +1,46 @@
+"""Answer the platform's question whether this process takes callers."""
+
+from collections.abc import Callable
+
+from aiohttp import web
+
+from boragespring.platform.names import READY_PATH
+from boragespring.settings import AddressSettings
+
+__all__ = ["ReadinessServer"]
+
+
+class ReadinessServer:
+    """HTTP server of the readiness check.
+
+    Parameters
+    ----------
+    address : AddressSettings
+        Where to listen.
+    why_not_ready : callable
+        Returns an empty text when ready, else the reason.
+    """
+
+    def __init__(
+        self, address: AddressSettings, why_not_ready: Callable[[], str]
+    ) -> None:
+        self._address = address
+        self._why_not_ready = why_not_ready
+        app = web.Application()
+        app.router.add_get(READY_PATH, self._answer)
+        self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+
+    async def start(self) -> None:
+        """Open the port."""
+        await self._runner.setup()
+        await web.TCPSite(self._runner, self._address.host, self._address.port).start()
+
+    async def stop(self) -> None:
+        """Close the port."""
+        await self._runner.cleanup()
+
+    async def _answer(self, _: web.Request) -> web.Response:
+        reason = self._why_not_ready()
+        return web.Response(
+            status=503 if reason else 200, text=f"{reason or 'ready'}\n"
+        )
--- /dev/null
+++ b/src/boragespring/platform/registration_codec.py
@@ -0,0 +1,62 @@
+"""Decode what backend servers write of themselves into the store."""
+
+import json
+
+from attrs import frozen
+
+from boragespring.fleet import Registration, ServerAddress
+from boragespring.platform.names import REGISTRATION_PREFIX
+from boragespring.settings import SettingsError, structure
+
+__all__ = ["RegistrationUnreadableError", "decode_registration", "server_id_of"]
+
+_LEAVING_BY_STATE = {"ready": False, "draining": True}
+
+
+class RegistrationUnreadableError(SettingsError):
+    """An entry names no backend server that can be used."""
+
+
+@frozen
+class _WireRegistration:
+    service: str
+    address: str
+    zone: str
+    state: str
+    slots: int
+    # How much longer the server stays slow after its start.
+    cold_remaining_ms: float = 0.0
+    born: int = 0
+
+
+def server_id_of(key: str) -> str:
+    """Return the server's identity, which stands in the key alone."""
+    return key.removeprefix(REGISTRATION_PREFIX)
+
+
+def decode_registration(key: str, data: bytes) -> Registration:
+    """Decode one entry.
+
+    Raises
+    ------
+    RegistrationUnreadableError
+        When fields are missing or of another type, or the state is unknown.
+    """
+    try:
+        plain = json.loads(data)
+        wire = structure(plain, _WireRegistration, key, ignore_unknown=True)
+        host, _, port = wire.address.rpartition(":")
+        address = ServerAddress(host, int(port))
+        is_leaving = _LEAVING_BY_STATE[wire.state]
+    except (ValueError, KeyError, SettingsError) as error:
+        raise RegistrationUnreadableError(f"{key}: {error}") from error
+    return Registration(
+        server_id=server_id_of(key),
+        service=wire.service,
+        address=address,
+        availability_zone=wire.zone,
+        slots=wire.slots,
+        is_leaving=is_leaving,
+        warm_up_s=wire.cold_remaining_ms / 1000,
+        started_at_ms=wire.born,
+    )
--- /dev/null
+++ b/src/boragespring/platform/server_calls.py
@@ -0,0 +1,241 @@
+"""Calls to backend servers over HTTP, one connection for each request."""
+
+import json
+import time
+from collections.abc import AsyncIterator
+from typing import Any
+
+import aiohttp
+from aiohttp import hdrs
+from attrs import frozen
+from multidict import CIMultiDict
+from yarl import URL
+
+from boragespring.fleet import BackendServer, ServerAddress
+from boragespring.forwarding import (
+    Attempt,
+    CopyRefusedError,
+    ReplyBrokenError,
+    ReplyHead,
+    ReplyLostError,
+    RunCopy,
+    RunNotFoundError,
+    ServerLoad,
+    ServerUnreachableError,
+)
+from boragespring.platform import names
+from boragespring.platform.sockets import open_socket
+
+__all__ = ["HttpServerCalls", "ServerCallSettings"]
+
+_OK = 200
+_NOT_FOUND = 404
+_MISDIRECTED = 421
+#: Longest header line of a reply.
+HEADER_LINE_MAX_BYTES = 32 * 1024
+
+
+@frozen
+class ServerCallSettings:
+    """Waits of calls to backend servers.
+
+    Parameters
+    ----------
+    connect_timeout_s : float
+        Longest wait for a connection.
+    copy_timeout_s : float
+        Longest wait for a copy of a run.
+    """
+
+    connect_timeout_s: float = 0.3
+    copy_timeout_s: float = 3.0
+
+
+class _HttpReply:
+    """Reply of a backend server while it arrives."""
+
+    def __init__(self, response: aiohttp.ClientResponse) -> None:
+        self._response = response
+        self.head = _head(response)
+        connection = response.connection
+        protocol = connection.protocol if connection is not None else None
+        # The future has to be asked for before the connection is lost, or it
+        # does not tell how that happened.
+        self._closed = protocol.closed if protocol is not None else None
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yield the body; raise `ReplyBrokenError` unless it ends properly."""
+        try:
+            async for chunk in self._response.content.iter_any():
+                yield chunk
+        except (aiohttp.ClientError, OSError) as error:
+            raise ReplyBrokenError(_describe(error)) from error
+        if self._ends_with_connection():
+            await self._check_closed_cleanly()
+
+    def close(self) -> None:
+        """Close the connection, which ends the server's work on the request."""
+        self._response.close()
+
+    def _ends_with_connection(self) -> bool:
+        headers = self._response.headers
+        is_framed = hdrs.CONTENT_LENGTH in headers or hdrs.TRANSFER_ENCODING in headers
+        return not is_framed and self._response.status not in (204, 304)
+
+    async def _check_closed_cleanly(self) -> None:
+        """Tell a reset from an end, which look alike without a length."""
+        if self._closed is None:
+            return
+        try:
+            await self._closed
+        except aiohttp.ClientError as error:
+            raise ReplyBrokenError(_describe(error)) from error
+
+
+class HttpServerCalls:
+    """Calls to backend servers.
+
+    A connection carries one request only. What a faulty server sends after
+    its reply, or late, then belongs to nothing; and a connection that the
+    server closed while idle never takes a request that may not be repeated.
+    """
+
+    def __init__(self, settings: ServerCallSettings) -> None:
+        self._settings = settings
+        self._session: aiohttp.ClientSession | None = None
+
+    async def send(self, server: BackendServer, attempt: Attempt) -> _HttpReply:
+        """Send a request and wait for the head of the reply."""
+        request = attempt.request
+        url = URL(f"http://{server.address}{request.target}", encoded=True)
+        try:
+            response = await self._open_session().request(
+                request.method,
+                url,
+                headers=_headers(server, attempt),
+                data=request.body or None,
+                allow_redirects=False,
+                timeout=aiohttp.ClientTimeout(
+                    total=None, sock_connect=self._settings.connect_timeout_s
+                ),
+            )
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            raise ServerUnreachableError(_describe(error)) from error
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            raise ReplyLostError(_describe(error)) from error
+        return _HttpReply(response)
+
+    async def copy_run(
+        self, server: BackendServer, run_id: str, target: ServerAddress, is_last: bool
+    ) -> RunCopy:
+        """Copy a run's memory to another server."""
+        body: dict[str, Any] = {"id": run_id, "target": str(target)}
+        if is_last:
+            body["last"] = True
+        status, reply = await self._call(server, "POST", "/kv-move", body)
+        copy_id = str(reply.get("handle") or "")
+        if status == _OK:
+            # "created" counts the events that the run has produced so far.
+            return RunCopy(copy_id, int(reply.get("created") or 0))
+        if status == _NOT_FOUND:
+            raise RunNotFoundError(f"no run {run_id} at {server.server_id}")
+        raise CopyRefusedError(f"status {status}", copy_id)
+
+    async def release_copy(self, server: BackendServer, copy_id: str) -> None:
+        """Free a copy that is not used, at both ends."""
+        await self._call(server, "DELETE", f"/kv-handle/{copy_id}", None)
+
+    async def close(self) -> None:
+        """Close the connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def _call(
+        self, server: BackendServer, method: str, path: str, body: object
+    ) -> tuple[int, dict[str, Any]]:
+        timeout = aiohttp.ClientTimeout(
+            total=self._settings.copy_timeout_s,
+            sock_connect=self._settings.connect_timeout_s,
+        )
+        url = f"http://{server.address}{path}"
+        try:
+            async with self._open_session().request(
+                method, url, json=body, timeout=timeout
+            ) as response:
+                return response.status, _object(await response.read())
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            raise ServerUnreachableError(_describe(error)) from error
+        except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
+            raise ReplyLostError(_describe(error)) from error
+
+    def _open_session(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            self._session = aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(
+                    force_close=True, limit=0, socket_factory=open_socket
+                ),
+                cookie_jar=aiohttp.DummyCookieJar(),
+                auto_decompress=False,
+                timeout=aiohttp.ClientTimeout(total=None),
+                skip_auto_headers=(
+                    hdrs.USER_AGENT,
+                    hdrs.ACCEPT,
+                    hdrs.ACCEPT_ENCODING,
+                    hdrs.CONTENT_TYPE,
+                ),
+                max_line_size=HEADER_LINE_MAX_BYTES,
+                max_field_size=HEADER_LINE_MAX_BYTES,
+            )
+        return self._session
+
+
+def _headers(server: BackendServer, attempt: Attempt) -> CIMultiDict[str]:
+    headers = CIMultiDict(attempt.request.headers)
+    left_ms = int((attempt.deadline_s - time.monotonic()) * 1000)
+    headers[names.REMAINING_MS] = str(max(1, left_ms))
+    headers[names.EXPECTED_SERVER] = server.server_id
+    if attempt.workspace:
+        headers[names.WORKSPACE] = attempt.workspace
+    if attempt.urgency is not None:
+        headers[names.URGENCY] = str(attempt.urgency)
+    if attempt.resume is not None:
+        headers[names.COPY_SOURCE] = f"{attempt.resume.source}/{attempt.resume.copy_id}"
+        headers[names.LAST_EVENT_ID] = attempt.resume.last_event_id
+    return headers
+
+
+def _head(response: aiohttp.ClientResponse) -> ReplyHead:
+    headers = response.headers
+    encoding = headers.get(hdrs.CONTENT_ENCODING, "identity")
+    return ReplyHead(
+        status=response.status,
+        headers=tuple(
+            (name, value)
+            for name, value in headers.items()
+            if name.lower() not in names.CONNECTION_HEADERS
+        ),
+        request_id=headers.get(names.REQUEST_ID, ""),
+        is_signed=names.SIGNATURE in headers,
+        was_not_run=names.NOT_RUN in headers,
+        is_other_server=response.status == _MISDIRECTED,
+        is_encoded=encoding.strip().lower() not in ("", "identity"),
+        is_server_leaving=headers.get(hdrs.CONNECTION, "").lower() == "close",
+        load=_load(headers.get(names.SERVER_LOAD, "")),
+    )
+
+
+def _load(text: str) -> ServerLoad | None:
+    parts = text.split(",")
+    if len(parts) != 3 or not all(part.strip().isdecimal() for part in parts):
+        return None
+    running, waiting, slots = map(int, parts)
+    return ServerLoad(running, waiting, slots)
+
+
+def _object(data: bytes) -> dict[str, Any]:
+    body = json.loads(data) if data else {}
+    return body if isinstance(body, dict) else {}
+
+
+def _describe(error: BaseException) -> str:
+    return f"{type(error).__name__} {error}".strip()
--- /dev/null
+++ b/src/boragespring/platform/settings_file.py
@@ -0,0 +1,150 @@
+"""Read the platform's settings file into the product's settings."""
+
+import os
+import tomllib
+from pathlib import Path
+
+from attrs import frozen
+
+from boragespring.platform.names import SETTINGS_PATH_VARIABLE
+from boragespring.settings import (
+    AddressSettings,
+    LinkSettings,
+    SettingsFileError,
+    structure,
+)
+from boragespring.settings.gateway import (
+    GatewayBounds,
+    GatewaySettings,
+    GatewayStoreSettings,
+)
+
+__all__ = ["METRICS_PORT", "load_gateway_settings", "settings_path"]
+
+#: Port of the metrics; `deploy/system.toml` names the same.
+METRICS_PORT = 9464
+
+#: Links between gateways carry loads with each heartbeat.
+PEER_LINKS = LinkSettings(
+    heartbeat_interval_s=0.15,
+    heartbeat_deadline_s=1.2,
+    connect_timeout_s=0.5,
+    reconnect_delay_s=0.1,
+    reconnect_delay_max_s=1.0,
+)
+
+
+@frozen
+class _WireListen:
+    front: str
+    ready: str
+
+
+@frozen
+class _WireLimits:
+    memory_mb: int = 128
+
+
+@frozen
+class _WireBounds:
+    # Time without disturbance until the bounds hold for a machine again.
+    contact_ms: float = 3000.0
+    configuration_ms: float = 2000.0
+    # Added to the bound of configuration while the store is disturbed.
+    outer_ms: float = 5000.0
+    drain_ms: float = 2000.0
+    grace_s: float = 8.0
+    loss_slack_ms: float = 200.0
+    budget_ratio: float = 0.2
+    budget_window_s: float = 10.0
+    budget_slack: float = 50.0
+    pass_ms: float = 120.0
+
+
+@frozen
+class _WirePlatform:
+    # Address of the store, the only part of the platform that is called.
+    address: str
+    writes_per_s: float = 400.0
+    reads_per_s: float = 2000.0
+
+
+@frozen
+class _WireSettings:
+    node: str
+    zone: str
+    region: str
+    ip_address: str
+    # First and last port for traffic between machines of the system.
+    internal_ports: list[int]
+    listen: _WireListen
+    platform: _WirePlatform
+    limits: _WireLimits = _WireLimits()
+    bounds: _WireBounds = _WireBounds()
+
+
+def settings_path() -> Path | None:
+    """Return the path of the settings file that the platform names, if any."""
+    value = os.environ.get(SETTINGS_PATH_VARIABLE)
+    return Path(value) if value else None
+
+
+def load_gateway_settings(path: Path) -> GatewaySettings:
+    """Read the settings of a gateway.
+
+    Raises
+    ------
+    SettingsFileError
+        When the file cannot be read or is no TOML.
+    FieldErrorGroup
+        When fields are missing or of another type.
+    """
+    try:
+        plain = tomllib.loads(path.read_text(encoding="utf-8"))
+    except (OSError, ValueError) as error:
+        message = f"{path}: cannot be read: {error}; name a readable TOML file"
+        raise SettingsFileError(message) from error
+    wire = structure(plain, _WireSettings, str(path), ignore_unknown=True)
+    if not wire.internal_ports:
+        message = f"{path}: internal_ports: found none; name the first and last port"
+        raise SettingsFileError(message)
+    return GatewaySettings(
+        name=wire.node,
+        availability_zone=wire.zone,
+        region=wire.region,
+        callers=_address(path, "listen.front", wire.listen.front),
+        readiness=_address(path, "listen.ready", wire.listen.ready),
+        peers=AddressSettings(wire.ip_address, wire.internal_ports[0]),
+        metrics=AddressSettings(wire.ip_address, METRICS_PORT),
+        store=GatewayStoreSettings(
+            url=f"http://{wire.platform.address}",
+            writes_per_s=wire.platform.writes_per_s,
+            reads_per_s=wire.platform.reads_per_s,
+        ),
+        bounds=_bounds(wire.bounds),
+        links=PEER_LINKS,
+        memory_mb=wire.limits.memory_mb,
+    )
+
+
+def _address(path: Path, field: str, text: str) -> AddressSettings:
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdecimal():
+        message = f"{path}: {field}: found {text!r}; allowed: HOST:PORT"
+        raise SettingsFileError(message)
+    return AddressSettings(host, int(port))
+
+
+def _bounds(wire: _WireBounds) -> GatewayBounds:
+    return GatewayBounds(
+        contact_s=wire.contact_ms / 1000,
+        catalog_delay_s=wire.configuration_ms / 1000,
+        catalog_delay_outage_s=wire.outer_ms / 1000,
+        leaving_delay_s=wire.drain_ms / 1000,
+        stop_grace_s=wire.grace_s,
+        stop_read_s=wire.loss_slack_ms / 1000,
+        retry_ratio=wire.budget_ratio,
+        retry_slack=wire.budget_slack,
+        retry_window_s=wire.budget_window_s,
+        relay_delay_s=wire.pass_ms / 1000,
+    )
--- /dev/null
+++ b/src/boragespring/platform/store_client.py
@@ -0,0 +1,274 @@
+"""The platform's store behind the product's store interface."""
+
+import asyncio
+import base64
+import binascii
+import json
+from collections.abc import AsyncGenerator, Mapping, Sequence
+from typing import Any
+
+import aiohttp
+from attrs import frozen
+
+from boragespring.platform.sockets import open_socket
+from boragespring.store.store import (
+    ConditionalWrite,
+    GetResult,
+    KeyValue,
+    Lease,
+    LeaseExpiredError,
+    RangeResult,
+    StoreError,
+    StoreUnavailableError,
+    WatchBatch,
+    WatchCompactedError,
+    WatchEvent,
+    WriteOutcomeUnknownError,
+    WriteResult,
+)
+
+__all__ = ["PlatformStore", "PlatformStoreSettings"]
+
+_OK = 200
+_NOT_FOUND = 404
+_GONE = 410
+_CONDITION_FAILED = 412
+_REFUSED = (429, 503)
+
+
+@frozen
+class PlatformStoreSettings:
+    """Where the store is and how long calls may take.
+
+    Parameters
+    ----------
+    url : str
+        Base address.
+    connect_timeout_s : float
+        Longest wait for a connection.
+    call_timeout_s : float
+        Longest wait for the answer to a call.
+    watch_wait_s : float
+        Time that the store may hold a watch without changes.
+    watch_slack_s : float
+        Time beyond that after which a watch counts as dead.
+    """
+
+    url: str
+    connect_timeout_s: float = 0.5
+    call_timeout_s: float = 1.5
+    watch_wait_s: float = 2.0
+    watch_slack_s: float = 0.7
+
+
+class PlatformStore:
+    """`KeyValueStore` over the platform's HTTP calls."""
+
+    def __init__(self, settings: PlatformStoreSettings) -> None:
+        self._settings = settings
+        self._session: aiohttp.ClientSession | None = None
+
+    async def get(self, key: str) -> GetResult:
+        """Read one key."""
+        status, body = await self._read("/kv-key", {"key": key})
+        if status == _NOT_FOUND:
+            return GetResult(None, _revision(body, 0))
+        return GetResult(_item(body), _revision(body, 0))
+
+    async def range(self, prefix: str, limit: int = 0) -> RangeResult:
+        """Read the keys under a prefix, page by page."""
+        items: list[KeyValue] = []
+        first_revision = 0
+        after = ""
+        while True:
+            query = {"path_prefix": prefix}
+            if after:
+                # The page after a key is asked for with that key; the name of
+                # the parameter speaks of a revision.
+                query["after_revision"] = after
+            _, body = await self._read("/kv-range", query)
+            # Pages are no snapshot: a watch has to start at the first one.
+            first_revision = first_revision or _revision(body, 0)
+            page = [_item(entry) for entry in _rows(body, "items")]
+            items += page
+            if limit and len(items) >= limit:
+                return RangeResult(tuple(items[:limit]), first_revision)
+            if not body.get("has_more") or not page:
+                return RangeResult(tuple(items), first_revision)
+            after = page[-1].key
+
+    async def write(self, write: ConditionalWrite) -> WriteResult:
+        """Apply one conditional write."""
+        put = (
+            []
+            if write.value is None
+            else [
+                {
+                    "key": write.key,
+                    "value": base64.b64encode(write.value).decode(),
+                    "lease": write.lease_id,
+                }
+            ]
+        )
+        condition = {"key": write.key, "revision": write.expected_mod_revision}
+        request = {
+            "expected_revision": [condition],
+            "puts": put,
+            "remove": [write.key] if write.value is None else [],
+        }
+        status, body = await self._change("POST", "/kv-txn", request)
+        if status == _NOT_FOUND:
+            raise LeaseExpiredError(f"lease {write.lease_id} of {write.key}")
+        if status == _CONDITION_FAILED:
+            current = [_item(entry) for entry in _rows(body, "items")]
+            found = next((item for item in current if item.key == write.key), None)
+            return WriteResult(False, _revision(body, 0), found)
+        return WriteResult(True, int(body.get("revision", 0)))
+
+    async def write_many(
+        self, writes: Sequence[ConditionalWrite]
+    ) -> tuple[WriteResult, ...]:
+        """Apply independent writes; the platform's own groups are all or none."""
+        return tuple(await asyncio.gather(*map(self.write, writes)))
+
+    async def grant_lease(self, ttl_s: float) -> Lease:
+        """Grant a lease."""
+        request = {"ttl_ms": round(ttl_s * 1000)}
+        _, body = await self._change("POST", "/kv-lease", request)
+        return Lease(int(body["lease"]), float(body["ttl_ms"]) / 1000)
+
+    async def renew_lease(self, lease_id: int) -> Lease:
+        """Renew a lease; raise `LeaseExpiredError` when it is gone."""
+        status, body = await self._change("POST", f"/kv-keep/{lease_id}", None)
+        if status == _NOT_FOUND:
+            raise LeaseExpiredError(f"lease {lease_id}")
+        return Lease(lease_id, float(body["ttl_ms"]) / 1000)
+
+    async def revoke_lease(self, lease_id: int) -> None:
+        """End a lease and delete the keys bound to it."""
+        await self._change("DELETE", f"/kv-lease-end/{lease_id}", None)
+
+    async def watch(
+        self, prefix: str, from_revision: int
+    ) -> AsyncGenerator[WatchBatch, None]:
+        """Yield changes under a prefix from a revision on, in order."""
+        wait_s = self._settings.watch_wait_s
+        after_revision = from_revision - 1
+        while True:
+            query = {
+                "path_prefix": prefix,
+                "after_revision": str(after_revision),
+                "wait_ms": str(round(wait_s * 1000)),
+            }
+            timeout_s = wait_s + self._settings.watch_slack_s
+            status, body = await self._read("/kv-watch", query, timeout_s)
+            if status == _GONE:
+                raise WatchCompactedError(f"no history after {after_revision}")
+            after_revision = _revision(body, after_revision)
+            events = tuple(_event(entry) for entry in _rows(body, "events"))
+            yield WatchBatch(after_revision, events)
+
+    async def close(self) -> None:
+        """Close the connections to the store."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def _read(
+        self, path: str, query: Mapping[str, str], timeout_s: float | None = None
+    ) -> tuple[int, Mapping[str, Any]]:
+        try:
+            status, body = await self._call("GET", path, query, None, timeout_s)
+        except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
+            raise StoreUnavailableError(f"{path}: {_describe(error)}") from error
+        if status in (_OK, _NOT_FOUND, _GONE):
+            return status, body
+        raise StoreUnavailableError(f"{path}: status {status}")
+
+    async def _change(
+        self, method: str, path: str, request: object
+    ) -> tuple[int, Mapping[str, Any]]:
+        try:
+            status, body = await self._call(method, path, {}, request, None)
+        except aiohttp.ClientConnectorError as error:
+            raise StoreUnavailableError(f"{path}: {_describe(error)}") from error
+        except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
+            raise WriteOutcomeUnknownError(f"{path}: {_describe(error)}") from error
+        if status in _REFUSED:
+            raise StoreUnavailableError(f"{path}: status {status}")
+        if status in (_OK, _NOT_FOUND, _CONDITION_FAILED):
+            return status, body
+        raise StoreError(f"{path}: status {status}")
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        query: Mapping[str, str],
+        request: object,
+        timeout_s: float | None,
+    ) -> tuple[int, Mapping[str, Any]]:
+        total_s = timeout_s or self._settings.call_timeout_s
+        async with self._open_session().request(
+            method,
+            self._settings.url + path,
+            params=query,
+            json=request,
+            timeout=aiohttp.ClientTimeout(
+                total=total_s, sock_connect=self._settings.connect_timeout_s
+            ),
+        ) as response:
+            return response.status, _object(await response.read())
+
+    def _open_session(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            connector = aiohttp.TCPConnector(socket_factory=open_socket, limit=0)
+            self._session = aiohttp.ClientSession(connector=connector)
+        return self._session
+
+
+def _describe(error: BaseException) -> str:
+    return f"{type(error).__name__} {error}".strip()
+
+
+def _object(data: bytes) -> Mapping[str, Any]:
+    """Return the object of a body; raise `ValueError` for anything else."""
+    if not data:
+        return {}
+    body = json.loads(data)
+    if not isinstance(body, dict):
+        raise ValueError(f"a body of {type(body).__name__}, not an object")
+    return body
+
+
+def _rows(body: Mapping[str, Any], name: str) -> list[Mapping[str, Any]]:
+    rows = body.get(name)
+    return rows if isinstance(rows, list) else []
+
+
+def _revision(body: Mapping[str, Any], default: int) -> int:
+    return int(body.get("current_rev", default))
+
+
+def _item(entry: Mapping[str, Any]) -> KeyValue:
+    return KeyValue(
+        key=str(entry["key"]),
+        value=_bytes(entry.get("value")),
+        create_revision=int(entry.get("created", 0)),
+        mod_revision=int(entry["revision"]),
+        lease_id=int(entry.get("lease") or 0),
+    )
+
+
+def _bytes(text: object) -> bytes:
+    """Decode a value; one that is no base64 is empty, which no reader accepts."""
+    if not isinstance(text, str):
+        return b""
+    try:
+        return base64.b64decode(text, validate=True)
+    except (binascii.Error, ValueError):
+        return b""
+
+
+def _event(entry: Mapping[str, Any]) -> WatchEvent:
+    item = None if entry.get("removed") else _item(entry)
+    return WatchEvent(str(entry["key"]), item, int(entry["revision"]))
--- a/src/boragespring/settings/loader.py
+++ b/src/boragespring/settings/loader.py
@@ -83,8 +83,8 @@
     return get_origin(kind) is Literal
 
 
-def _build_converter() -> Converter:
-    converter = Converter(forbid_extra_keys=True, detailed_validation=True)
+def _build_converter(refuse_unknown: bool) -> Converter:
+    converter = Converter(forbid_extra_keys=refuse_unknown, detailed_validation=True)
     converter.register_structure_hook(int, _structure_int)
     converter.register_structure_hook(float, _structure_float)
     converter.register_structure_hook(str, _structure_str)
@@ -112,7 +112,8 @@
         raise _ValueNotAllowedError(value, allowed.describe())
 
 
-_CONVERTER = _build_converter()
+_STRICT = _build_converter(refuse_unknown=True)
+_LENIENT = _build_converter(refuse_unknown=False)
 
 
 def _step(notes: list[Any]) -> str:
@@ -159,7 +160,9 @@
     return parent
 
 
-def structure(data: object, cls: type[T], source: str) -> T:
+def structure(
+    data: object, cls: type[T], source: str, ignore_unknown: bool = False
+) -> T:
     """Build an `attrs` object from plain data.
 
     Parameters
@@ -170,6 +173,8 @@
         `attrs` class to build.
     source : str
         Name of the source, for the errors.
+    ignore_unknown : bool, default=False
+        Whether fields that the class does not have are passed over.
 
     Returns
     -------
@@ -184,7 +189,8 @@
     try:
         if not isinstance(data, Mapping):
             raise _ValueNotAllowedError(data, "an object")
-        return _CONVERTER.structure(data, cls)
+        converter = _LENIENT if ignore_unknown else _STRICT
+        return converter.structure(data, cls)
     except (BaseValidationError, IterableValidationError, ValueError) as error:
         errors = list(_field_errors(error, "", data, source))
         message = f"{source}: {len(errors)} field(s) in error"
--- /dev/null
+++ b/src/boragespring/sharing/__init__.py
@@ -0,0 +1,17 @@
+"""Sharing: what gateways tell each other of loads and of the store's content.
+
+Message codes 140 to 149 belong to this slice.
+"""
+
+from boragespring.sharing.copies import CopySharing, CopySharingSettings
+from boragespring.sharing.loads import LoadSharing, LoadSharingSettings
+from boragespring.sharing.presence import Presence, PresenceSettings
+
+__all__ = [
+    "CopySharing",
+    "CopySharingSettings",
+    "LoadSharing",
+    "LoadSharingSettings",
+    "Presence",
+    "PresenceSettings",
+]
--- /dev/null
+++ b/src/boragespring/sharing/messages.py
@@ -0,0 +1,61 @@
+"""Messages between gateways. Codes 140 to 149 belong to this slice."""
+
+from typing import Any
+
+from boragespring.links import message
+
+__all__ = ["CopyAges", "CopyReply", "GatewayLoads", "ReadCopy"]
+
+
+@message(140)
+class GatewayLoads:
+    """All requests that one gateway has at backend servers.
+
+    Parameters
+    ----------
+    loads : list
+        One row for each server: its identity, number of runs, memory that
+        they are expected to hold in tokens, and prompt tokens to be read.
+    """
+
+    loads: list[Any]
+
+
+@message(141)
+class CopyAges:
+    """How complete a gateway's copies of the store's content are.
+
+    Parameters
+    ----------
+    copies : list
+        One row for each prefix: prefix, store revision, and time in
+        milliseconds since the copy was known to be complete.
+    """
+
+    copies: list[Any]
+
+
+@message(142)
+class ReadCopy:
+    """Call for the keys under a prefix, as the other end has them."""
+
+    prefix: str
+
+
+@message(143)
+class CopyReply:
+    """Reply to `ReadCopy`.
+
+    Parameters
+    ----------
+    revision : int
+        Store revision of the copy.
+    age_ms : int
+        Time since the copy was known to be complete.
+    items : list
+        One row for each key: key, value, revision.
+    """
+
+    revision: int
+    age_ms: int
+    items: list[Any]
--- a/src/boragespring/standins/gateway.py
+++ b/src/boragespring/standins/gateway.py
@@ -6,13 +6,13 @@
 
 from aiohttp import web
 
-from boragespring.platform.gateway import (
+from boragespring.store.gateway import (
     CODE_INVALID_ARGUMENT,
     CODE_NOT_FOUND,
     value_to_json,
 )
-from boragespring.platform.keyspace import Keyspace
-from boragespring.platform.store import (
+from boragespring.store.keyspace import Keyspace
+from boragespring.store.store import (
     ConditionalWrite,
     KeyValue,
     LeaseExpiredError,
@@ -20,7 +20,7 @@
     WatchEvent,
     WriteResult,
 )
-from boragespring.platform.text import decode_bytes, decode_key, encode_key
+from boragespring.store.text import decode_bytes, decode_key, encode_key
 
 __all__ = [
     "VALUE_LIMIT_BYTES",
--- a/src/boragespring/standins/store.py
+++ b/src/boragespring/standins/store.py
@@ -13,12 +13,12 @@
 from aiohttp import web
 from attrs import define
 
-from boragespring.platform.instances import Instance
-from boragespring.platform.instances_http import instances_from_json, instances_to_json
-from boragespring.platform.keyspace import Keyspace
-from boragespring.platform.memory_store import StoreFaults
-from boragespring.platform.store import WatchCompactedError
 from boragespring.standins import gateway
+from boragespring.store.instances import Instance
+from boragespring.store.instances_http import instances_from_json, instances_to_json
+from boragespring.store.keyspace import Keyspace
+from boragespring.store.memory_store import StoreFaults
+from boragespring.store.store import WatchCompactedError
 
 __all__ = ["StoreStandin", "StoreStandinSettings"]
 
--- a/src/boragespring/standins/tests/test_store.py
+++ b/src/boragespring/standins/tests/test_store.py
@@ -6,11 +6,12 @@
 import aiohttp
 import pytest
 
-from boragespring.platform.etcd import EtcdSettings, EtcdStore
-from boragespring.platform.instances import Instance, InstanceListError, InstanceRole
-from boragespring.platform.instances_http import HttpInstanceList
-from boragespring.platform.settled import write_settled
-from boragespring.platform.store import (
+from boragespring.standins.store import StoreStandin, StoreStandinSettings
+from boragespring.store.etcd import EtcdSettings, EtcdStore
+from boragespring.store.instances import Instance, InstanceListError, InstanceRole
+from boragespring.store.instances_http import HttpInstanceList
+from boragespring.store.settled import write_settled
+from boragespring.store.store import (
     ConditionalWrite,
     LeaseExpiredError,
     StoreSteppedBackError,
@@ -18,7 +19,6 @@
     WatchCompactedError,
     WriteOutcomeUnknownError,
 )
-from boragespring.standins.store import StoreStandin, StoreStandinSettings
 
 
 @pytest.fixture
--- a/src/boragespring/platform/budget.py
+++ b/src/boragespring/store/budget.py
@@ -8,7 +8,7 @@
 
 from attrs import define, frozen
 
-from boragespring.platform.store import (
+from boragespring.store.store import (
     ConditionalWrite,
     GetResult,
     KeyValueStore,
--- a/src/boragespring/platform/etcd.py
+++ b/src/boragespring/store/etcd.py
@@ -10,7 +10,7 @@
 import aiohttp
 from attrs import frozen
 
-from boragespring.platform.gateway import (
+from boragespring.store.gateway import (
     CODE_INVALID_ARGUMENT,
     CODE_NOT_FOUND,
     batch_from_json,
@@ -20,7 +20,7 @@
     value_from_json,
     write_result_from_json,
 )
-from boragespring.platform.store import (
+from boragespring.store.store import (
     ConditionalWrite,
     GetResult,
     Lease,
@@ -34,7 +34,7 @@
     WriteOutcomeUnknownError,
     WriteResult,
 )
-from boragespring.platform.text import encode_key
+from boragespring.store.text import encode_key
 
 __all__ = ["MAX_WRITES_PER_CALL", "EtcdSettings", "EtcdStore"]
 
--- /dev/null
+++ b/src/boragespring/store/follower.py
@@ -0,0 +1,207 @@
+"""Keep a copy of the keys under a prefix up to date."""
+
+import asyncio
+import random
+import time
+from collections.abc import Callable, Sequence
+from contextlib import aclosing
+from typing import Protocol
+
+from attrs import frozen
+
+from boragespring.store.store import (
+    KeyValue,
+    KeyValueStore,
+    StoreError,
+    WatchCompactedError,
+    WatchEvent,
+)
+
+__all__ = ["FollowerSettings", "FollowsPrefix", "PrefixFollower"]
+
+
+@frozen
+class FollowerSettings:
+    """Pauses of a follower.
+
+    Parameters
+    ----------
+    retry_pause_s : float
+        Pause after the first failed call; it doubles with each further one.
+    retry_pause_max_s : float
+        Longest pause; it bounds how late a returning store is noticed.
+    """
+
+    retry_pause_s: float = 0.1
+    retry_pause_max_s: float = 0.4
+
+
+class FollowsPrefix(Protocol):
+    """What takes in the keys of a prefix."""
+
+    def on_snapshot(self, items: Sequence[KeyValue], has_lapsed: bool) -> None:
+        """Take in all keys; ``has_lapsed`` when the store was away before."""
+        ...
+
+    def on_change(self, event: WatchEvent) -> None:
+        """Take in one change."""
+        ...
+
+    def on_contact(self, complete_at_s: float) -> None:
+        """Note that the copy was complete at a monotonic time."""
+        ...
+
+    def on_lost(self, reason: str) -> None:
+        """Note that the store does not answer."""
+        ...
+
+    def on_regained(self, away_s: float) -> None:
+        """Note that the store answers again."""
+        ...
+
+
+class PrefixFollower:
+    """Read a prefix, then watch it; read again where the history is gone.
+
+    Parameters
+    ----------
+    store : KeyValueStore
+        Where the keys lie.
+    prefix : str
+        Start of the keys.
+    target : FollowsPrefix
+        What takes them in.
+    settings : FollowerSettings, optional
+        Pauses.
+    """
+
+    def __init__(
+        self,
+        store: KeyValueStore,
+        prefix: str,
+        target: FollowsPrefix,
+        settings: FollowerSettings | None = None,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._store = store
+        self._prefix = prefix
+        self._target = target
+        self._settings = settings or FollowerSettings()
+        self._clock = clock
+        self._items: dict[str, KeyValue] = {}
+        self._read_revision = 0
+        self._next_revision = 0
+        self._copy_revision = 0
+        self._complete_at_s = float("-inf")
+        self._lost_at_s: float | None = None
+        self._has_lapsed = False
+        self._failures = 0
+
+    @property
+    def revision(self) -> int:
+        """Store revision of the copy; 0 before the first one."""
+        return self._copy_revision
+
+    @property
+    def complete_at_s(self) -> float:
+        """Monotonic time at which the copy was last known to be complete."""
+        return self._complete_at_s
+
+    @property
+    def items(self) -> list[KeyValue]:
+        """All keys of the copy."""
+        return list(self._items.values())
+
+    def confirm_copy(self, revision: int, complete_at_s: float) -> None:
+        """Note that a process with the same copy knew it to be complete."""
+        if revision <= self._copy_revision:
+            self._note_complete(self._copy_revision, complete_at_s)
+
+    def take_copy(
+        self, items: Sequence[KeyValue], revision: int, complete_at_s: float
+    ) -> None:
+        """Take over another process's copy unless the own one is newer."""
+        if revision < self._copy_revision:
+            return
+        self._replace(items, revision)
+        self._target.on_snapshot(items, False)
+        self._note_complete(revision, complete_at_s)
+
+    async def run(self) -> None:
+        """Follow the prefix until cancelled."""
+        while True:
+            try:
+                if not self._next_revision:
+                    await self._read_all()
+                await self._watch()
+            except WatchCompactedError:
+                self._next_revision = 0
+            except StoreError as error:
+                self._note_lost(str(error))
+                await asyncio.sleep(self._pause_s())
+
+    async def _read_all(self) -> None:
+        asked_at_s = self._clock()
+        result = await self._store.range(self._prefix)
+        self._note_answer()
+        self._next_revision = result.revision + 1
+        has_lapsed, self._has_lapsed = self._has_lapsed, False
+        if result.revision < self._copy_revision:
+            return
+        self._replace(result.items, result.revision)
+        self._target.on_snapshot(result.items, has_lapsed)
+        self._note_complete(result.revision, asked_at_s)
+
+    async def _watch(self) -> None:
+        batches = self._store.watch(self._prefix, self._next_revision)
+        async with aclosing(batches):
+            async for batch in batches:
+                self._note_answer()
+                for event in batch.events:
+                    self._apply(event)
+                self._next_revision = batch.revision + 1
+                self._note_complete(batch.revision, self._clock())
+
+    def _replace(self, items: Sequence[KeyValue], revision: int) -> None:
+        self._items = {item.key: item for item in items}
+        self._read_revision = revision
+
+    def _apply(self, event: WatchEvent) -> None:
+        # A range of several pages, or a copy of another process, may hold a
+        # change that the watch repeats.
+        known = self._items.get(event.key)
+        known_revision = known.mod_revision if known else 0
+        if event.revision <= max(known_revision, self._read_revision):
+            return
+        if event.item is None:
+            self._items.pop(event.key, None)
+        else:
+            self._items[event.key] = event.item
+        self._target.on_change(event)
+
+    def _note_complete(self, revision: int, at_s: float) -> None:
+        self._copy_revision = max(self._copy_revision, revision)
+        if at_s > self._complete_at_s:
+            self._complete_at_s = at_s
+            self._target.on_contact(at_s)
+
+    def _note_answer(self) -> None:
+        self._failures = 0
+        if self._lost_at_s is None:
+            return
+        away_s = self._clock() - self._lost_at_s
+        self._lost_at_s = None
+        self._target.on_regained(away_s)
+
+    def _note_lost(self, reason: str) -> None:
+        self._failures += 1
+        if self._lost_at_s is not None:
+            return
+        self._lost_at_s = self._clock()
+        self._has_lapsed = True
+        self._target.on_lost(reason)
+
+    def _pause_s(self) -> float:
+        pause_s = self._settings.retry_pause_s * 2.0 ** min(self._failures - 1, 8)
+        pause_s = min(pause_s, self._settings.retry_pause_max_s)
+        return pause_s * random.uniform(0.5, 1.0)
--- a/src/boragespring/platform/gateway.py
+++ b/src/boragespring/store/gateway.py
@@ -7,14 +7,14 @@
 from collections.abc import Mapping, Sequence
 from typing import Any
 
-from boragespring.platform.store import (
+from boragespring.store.store import (
     ConditionalWrite,
     KeyValue,
     WatchBatch,
     WatchEvent,
     WriteResult,
 )
-from boragespring.platform.text import (
+from boragespring.store.text import (
     decode_bytes,
     decode_key,
     encode_bytes,
--- a/src/boragespring/platform/instances_http.py
+++ b/src/boragespring/store/instances_http.py
@@ -6,7 +6,7 @@
 import aiohttp
 import cattrs
 
-from boragespring.platform.instances import Instance, InstanceListError
+from boragespring.store.instances import Instance, InstanceListError
 
 __all__ = ["HttpInstanceList", "instances_from_json", "instances_to_json"]
 
--- a/src/boragespring/platform/keyspace.py
+++ b/src/boragespring/store/keyspace.py
@@ -9,7 +9,7 @@
 from attrs import define, frozen
 from sortedcontainers import SortedDict
 
-from boragespring.platform.store import (
+from boragespring.store.store import (
     ConditionalWrite,
     GetResult,
     KeyValue,
--- a/src/boragespring/platform/memory_store.py
+++ b/src/boragespring/store/memory_store.py
@@ -6,8 +6,8 @@
 
 from attrs import define
 
-from boragespring.platform.keyspace import Keyspace
-from boragespring.platform.store import (
+from boragespring.store.keyspace import Keyspace
+from boragespring.store.store import (
     ConditionalWrite,
     GetResult,
     Lease,
@@ -18,7 +18,7 @@
     WriteOutcomeUnknownError,
     WriteResult,
 )
-from boragespring.platform.text import prefix_end
+from boragespring.store.text import prefix_end
 
 __all__ = ["MemoryStore", "StoreFaults"]
 
--- a/src/boragespring/platform/settled.py
+++ b/src/boragespring/store/settled.py
@@ -5,7 +5,7 @@
 
 from attrs import frozen
 
-from boragespring.platform.store import (
+from boragespring.store.store import (
     ConditionalWrite,
     KeyValue,
     KeyValueStore,
--- a/src/boragespring/platform/tests/test_instances_http.py
+++ b/src/boragespring/store/tests/test_instances_http.py
@@ -1,8 +1,8 @@
 """The instance list over HTTP."""
 
-from boragespring.platform.instances import Instance, InstanceRole
-from boragespring.platform.instances_http import HttpInstanceList
 from boragespring.standins.store import StoreStandin, StoreStandinSettings
+from boragespring.store.instances import Instance, InstanceRole
+from boragespring.store.instances_http import HttpInstanceList
 
 
 async def test_unchanged_list_is_not_sent_again():
--- a/src/boragespring/platform/tests/test_stores.py
+++ b/src/boragespring/store/tests/test_stores.py
@@ -2,11 +2,11 @@
 
 import pytest
 
-from boragespring.platform.budget import BudgetedStore, BudgetSettings, CallKind
-from boragespring.platform.keyspace import Keyspace
-from boragespring.platform.memory_store import MemoryStore
-from boragespring.platform.settled import SettleSettings, write_settled
-from boragespring.platform.store import (
+from boragespring.store.budget import BudgetedStore, BudgetSettings, CallKind
+from boragespring.store.keyspace import Keyspace
+from boragespring.store.memory_store import MemoryStore
+from boragespring.store.settled import SettleSettings, write_settled
+from boragespring.store.store import (
     ConditionalWrite,
     StoreUnavailableError,
     WriteOutcomeUnknownError,
--- a/src/boragespring/platform/weights_http.py
+++ b/src/boragespring/store/weights_http.py
@@ -5,7 +5,7 @@
 
 import aiohttp
 
-from boragespring.platform.weights import WeightStoreBusyError, WeightStoreError
+from boragespring.store.weights import WeightStoreBusyError, WeightStoreError
 
 __all__ = ["HttpWeightStore"]
 
