--- a/src/boragespring/composition/gateway.py
+++ b/src/boragespring/composition/gateway.py
@@ -40,6 +40,7 @@
 from boragespring.sharing import (
     CopySharing,
     CopySharingSettings,
+    EvacuationSharing,
     LoadSharing,
     LoadSharingSettings,
     Presence,
@@ -74,12 +75,14 @@
         placement=PlacementSettings(),
         tell_loads=loads.notify,
     )
+    evacuations = EvacuationSharing(peers.dispatcher, peers.links)
+    relocations = Relocations(context, RelocationSettings(), evacuations)
+    evacuations.announce_hooks.append(relocations.take_peer_runs)
+    evacuations.end_hooks.append(relocations.take_peer_end)
     forwarder = Forwarder(
         gate=gate,
         whole=WholeForwarder(context, WholeSettings()),
-        streamed=StreamForwarder(
-            context, Relocations(context, RelocationSettings()), StreamSettings()
-        ),
+        streamed=StreamForwarder(context, relocations, StreamSettings()),
         context=context,
     )
     presence = Presence(
--- a/src/boragespring/forwarding/messages.py
+++ b/src/boragespring/forwarding/messages.py
@@ -177,8 +177,6 @@
         Whether another server than the expected one has the address.
     is_encoded : bool
         Whether the body is not the server's own bytes.
-    is_server_leaving : bool
-        Whether the server asks for no further requests.
     load : ServerLoad or None
         Load of the server, where it tells it.
     """
@@ -190,7 +188,6 @@
     was_not_run: bool = False
     is_other_server: bool = False
     is_encoded: bool = False
-    is_server_leaving: bool = False
     load: ServerLoad | None = None
 
     @property
--- a/src/boragespring/forwarding/relocation.py
+++ b/src/boragespring/forwarding/relocation.py
@@ -1,11 +1,10 @@
 """Move runs away from a server that leaves, in the order that saves most."""
 
 import asyncio
-import random
 import time
 from collections.abc import Iterable
 
-from attrs import frozen
+from attrs import evolve, frozen
 
 from boragespring.catalog import EngineProfile
 from boragespring.fleet import BackendServer
@@ -15,6 +14,12 @@
     ForwardingError,
     RunNotFoundError,
 )
+from boragespring.forwarding.evacuation import (
+    Evacuation,
+    LeavingRun,
+    NoEvacuationPeers,
+    TellsEvacuation,
+)
 from boragespring.forwarding.messages import PromptShape
 from boragespring.forwarding.placement import (
     EngineLoad,
@@ -23,7 +28,7 @@
 )
 from boragespring.forwarding.running import Handover, RunningStream
 
-__all__ = ["RelocationSettings", "Relocations", "copy_time_s", "order_of_moves"]
+__all__ = ["RelocationSettings", "Relocations", "copy_time_s", "value_of"]
 
 
 @frozen
@@ -38,27 +43,29 @@
         A copy that took less is followed by the last one, which stops the run.
     copies_max : int
         Most copies before the last one.
-    waiting_pause_s : float
-        Pause before a run that has not started is looked at again.
+    announce_wait_s : float
+        Time for the announcements of other gateways to arrive.
+    turn_pause_s : float
+        Pause between two looks at whose turn it is.
+    turn_slack_s : float
+        Time beyond its copy that a run may take before others no longer wait.
     token_interval_s : float
         Usual time between two tokens.
-    zone_factor : float
-        How much longer a copy to another availability zone takes.
-    parallel_moves : int
-        Runs of one server that are moved at the same time.
-    stagger_max_s : float
-        Longest pause before a target is chosen, so that gateways which move
-        runs off the same server learn of each other's choices.
+    zone_penalty_s : float
+        Cost of a copy to another availability zone, which takes twice as long.
+    output_value : float
+        Value of a generated token against one of the prompt.
     """
 
     notice_s: float = 1.6
-    small_copy_s: float = 0.03
-    copies_max: int = 4
-    waiting_pause_s: float = 0.03
+    small_copy_s: float = 0.25
+    copies_max: int = 3
+    announce_wait_s: float = 0.012
+    turn_pause_s: float = 0.005
+    turn_slack_s: float = 0.3
     token_interval_s: float = 0.009
-    zone_factor: float = 2.0
-    parallel_moves: int = 2
-    stagger_max_s: float = 0.02
+    zone_penalty_s: float = 0.4
+    output_value: float = 10.0
 
 
 def copy_time_s(memory_tokens: float, engine: EngineProfile) -> float:
@@ -68,20 +75,10 @@
     return memory_tokens * engine.token_bytes * 8 / (engine.link_mbps * 1e6)
 
 
-def order_of_moves(
-    streams: Iterable[RunningStream], settings: RelocationSettings
-) -> list[RunningStream]:
-    """Return the streams that need a move, those that cost least time first.
-
-    A stream that ends by itself before its server does is left where it is,
-    behind all others.
-    """
-
-    def rank(stream: RunningStream) -> tuple[bool, int]:
-        ends_in_s = stream.tokens_left * settings.token_interval_s
-        return ends_in_s < settings.notice_s / 2, stream.memory_tokens
-
-    return sorted(streams, key=rank)
+def value_of(stream: RunningStream, settings: RelocationSettings) -> float:
+    """Return what a caller loses with a stream: longer answers are worth more."""
+    output_tokens = max(stream.load.output_tokens, stream.load.produced_tokens)
+    return stream.load.prompt_tokens + settings.output_value * output_tokens
 
 
 class Relocations:
@@ -93,14 +90,21 @@
         Fleet, calls and log.
     settings : RelocationSettings
         How runs are moved.
+    peers : TellsEvacuation, optional
+        Other gateways.
     """
 
     def __init__(
-        self, context: ForwardingContext, settings: RelocationSettings
+        self,
+        context: ForwardingContext,
+        settings: RelocationSettings,
+        peers: TellsEvacuation | None = None,
     ) -> None:
         self._context = context
         self._settings = settings
+        self._peers = peers or NoEvacuationPeers()
         self._streams: dict[str, RunningStream] = {}
+        self._evacuations: dict[str, Evacuation] = {}
         self._tasks: dict[str, asyncio.Task[None]] = {}
         context.fleet.leave_hooks.append(self._on_leave)
 
@@ -112,32 +116,96 @@
 
     def remove(self, stream: RunningStream) -> None:
         """Forget a stream that has ended."""
-        self._streams.pop(stream.job.request_id, None)
+        run_id = stream.job.request_id
+        self._streams.pop(run_id, None)
+        self._end(stream.server.server_id, run_id)
+
+    def take_peer_runs(self, server_id: str, runs: Iterable[LeavingRun]) -> None:
+        """Take in the runs that another gateway moves off a server."""
+        server = self._context.fleet.find(server_id)
+        if server is not None and server.runs:
+            self._evacuation(server_id).add(runs)
+
+    def take_peer_end(self, server_id: str, run_id: str) -> None:
+        """Note that another gateway's run no longer needs the server's link."""
+        evacuation = self._evacuations.get(server_id)
+        if evacuation is not None:
+            evacuation.end(run_id)
+
+    def _evacuation(self, server_id: str) -> Evacuation:
+        known = self._evacuations.get(server_id)
+        if known is None:
+            known = Evacuation(
+                copy_s_per_token=self._copy_s_per_token(server_id),
+                turn_slack_s=self._settings.turn_slack_s,
+                notice_s=self._settings.notice_s,
+            )
+            self._evacuations[server_id] = known
+        return known
+
+    def _copy_s_per_token(self, server_id: str) -> float:
+        engines = (
+            stream.job.service.engine
+            for stream in self._streams.values()
+            if stream.server.server_id == server_id
+        )
+        engine = next(filter(None, engines), None)
+        return copy_time_s(1.0, engine) if engine is not None else 0.0
+
+    def _end(self, server_id: str, run_id: str) -> None:
+        evacuation = self._evacuations.get(server_id)
+        if evacuation is not None:
+            evacuation.end(run_id)
+            self._peers.ended(server_id, run_id)
 
     def _on_leave(self, server: BackendServer) -> None:
         if server.server_id in self._tasks:
             return
         task = asyncio.create_task(self._evacuate(server))
         self._tasks[server.server_id] = task
-        task.add_done_callback(lambda _: self._tasks.pop(server.server_id, None))
+        task.add_done_callback(lambda _: self._forget(server.server_id))
+
+    def _forget(self, server_id: str) -> None:
+        self._tasks.pop(server_id, None)
+        self._evacuations.pop(server_id, None)
 
     async def _evacuate(self, server: BackendServer) -> None:
-        """Move the runs of a server until none is left."""
-        moving: dict[str, asyncio.Task[None]] = {}
-        while True:
-            moving = {name: task for name, task in moving.items() if not task.done()}
-            waiting = [
-                stream
+        """Move the runs of a server, in turn with other gateways."""
+        evacuation = self._evacuation(server.server_id)
+        announced: set[str] = set()
+        while any(one.server is server for one in self._streams.values()):
+            ready = {
+                stream.job.request_id: stream
                 for stream in self._streams.values()
-                if stream.server is server and stream.job.request_id not in moving
+                if stream.server is server and self._can_move(stream)
+            }
+            fresh = [
+                self._leaving_run(stream)
+                for run_id, stream in ready.items()
+                if run_id not in announced
             ]
-            if not waiting and not moving:
-                return
-            ready = [stream for stream in waiting if self._can_move(stream)]
-            free = self._settings.parallel_moves - len(moving)
-            for stream in order_of_moves(ready, self._settings)[: max(0, free)]:
-                moving[stream.job.request_id] = asyncio.create_task(self._move(stream))
-            await asyncio.sleep(self._settings.waiting_pause_s)
+            if fresh:
+                announced.update(run.run_id for run in fresh)
+                evacuation.add(fresh)
+                self._peers.announce(server.server_id, fresh)
+                # The others announce theirs in the same moment.
+                await asyncio.sleep(self._settings.announce_wait_s)
+            head = evacuation.head()
+            stream = ready.get(head.run_id) if head is not None else None
+            if stream is not None:
+                is_done = await self._move(stream)
+                if is_done:
+                    self._end(server.server_id, stream.job.request_id)
+            else:
+                await asyncio.sleep(self._settings.turn_pause_s)
+
+    def _leaving_run(self, stream: RunningStream) -> LeavingRun:
+        return LeavingRun(
+            run_id=stream.job.request_id,
+            memory_tokens=stream.memory_tokens,
+            value=value_of(stream, self._settings),
+            ends_in_s=stream.tokens_left * self._settings.token_interval_s,
+        )
 
     def _can_move(self, stream: RunningStream) -> bool:
         engine = stream.job.service.engine
@@ -148,12 +216,13 @@
             and stream.handover is None
         )
 
-    async def _move(self, stream: RunningStream) -> None:
+    async def _move(self, stream: RunningStream) -> bool:
+        """Move one run; return whether it needs the link no longer."""
         source, run_id = stream.server, stream.job.request_id
-        await asyncio.sleep(random.uniform(0.0, self._settings.stagger_max_s))
         target = self._choose_target(stream)
         if target is None:
-            return
+            await asyncio.sleep(self._settings.turn_pause_s)
+            return False
         # The target counts the run from now on, here and at other gateways.
         target.runs[run_id] = stream.load
         self._context.tell_loads()
@@ -164,7 +233,8 @@
         except ForwardingError as error:
             self._context.fleet.run_ended(target, run_id)
             self._note_failure(stream, target, error)
-            return
+            await asyncio.sleep(self._settings.turn_pause_s)
+            return False
         self._context.log.request(
             "moved",
             run_id,
@@ -174,6 +244,7 @@
             copies=copies,
             took_s=round(time.monotonic() - started_s, 3),
         )
+        return True
 
     def _note_failure(
         self, stream: RunningStream, target: BackendServer, error: ForwardingError
@@ -253,4 +324,7 @@
             stream.refused_by.clear()
         view = PlacementView(willing or servers, stream.server.availability_zone, now_s)
         left = PromptShape(stream.memory_tokens, round(stream.tokens_left))
-        return choose_server(EngineLoad(left, engine), view, self._context.placement)
+        placement = evolve(
+            self._context.placement, zone_penalty_s=self._settings.zone_penalty_s
+        )
+        return choose_server(EngineLoad(left, engine), view, placement)
--- a/src/boragespring/platform/server_calls.py
+++ b/src/boragespring/platform/server_calls.py
@@ -219,7 +219,6 @@
         was_not_run=names.NOT_RUN in headers,
         is_other_server=response.status == _MISDIRECTED,
         is_encoded=encoding.strip().lower() not in ("", "identity"),
-        is_server_leaving=headers.get(hdrs.CONNECTION, "").lower() == "close",
         load=_load(headers.get(names.SERVER_LOAD, "")),
     )
 
--- a/src/boragespring/sharing/__init__.py
+++ b/src/boragespring/sharing/__init__.py
@@ -4,12 +4,14 @@
 """
 
 from boragespring.sharing.copies import CopySharing, CopySharingSettings
+from boragespring.sharing.evacuations import EvacuationSharing
 from boragespring.sharing.loads import LoadSharing, LoadSharingSettings
 from boragespring.sharing.presence import Presence, PresenceSettings
 
 __all__ = [
     "CopySharing",
     "CopySharingSettings",
+    "EvacuationSharing",
     "LoadSharing",
     "LoadSharingSettings",
     "Presence",
--- /dev/null
+++ b/src/boragespring/sharing/evacuations.py
@@ -0,0 +1,69 @@
+"""Tell other gateways which runs this one moves off a leaving server."""
+
+from collections.abc import Callable, Iterable
+
+from boragespring.forwarding.evacuation import LeavingRun
+from boragespring.links import Dispatcher, Link, LinkClosedError
+from boragespring.links.codec import Message
+from boragespring.sharing.messages import LeavingRunEnded, LeavingRuns
+
+__all__ = ["EvacuationSharing"]
+
+AnnounceHook = Callable[[str, list[LeavingRun]], None]
+EndHook = Callable[[str, str], None]
+
+
+class EvacuationSharing:
+    """Send and receive the runs of leaving servers.
+
+    Parameters
+    ----------
+    dispatcher : Dispatcher
+        Handlers of links.
+    links : callable
+        Returns the open links to other gateways.
+    """
+
+    def __init__(self, dispatcher: Dispatcher, links: Callable[[], list[Link]]) -> None:
+        self._links = links
+        self.announce_hooks: list[AnnounceHook] = []
+        self.end_hooks: list[EndHook] = []
+        dispatcher.on(LeavingRuns, self._take_runs)
+        dispatcher.on(LeavingRunEnded, self._take_end)
+
+    def announce(self, server_id: str, runs: Iterable[LeavingRun]) -> None:
+        """Tell which runs this gateway has to move off a server."""
+        rows = [
+            [
+                run.run_id,
+                run.memory_tokens,
+                round(run.value, 3),
+                round(run.ends_in_s * 1000),
+            ]
+            for run in runs
+        ]
+        self._send(LeavingRuns(server_id, rows))
+
+    def ended(self, server_id: str, run_id: str) -> None:
+        """Tell that a run was moved, has ended, or cannot be moved."""
+        self._send(LeavingRunEnded(server_id, run_id))
+
+    def _send(self, told: Message) -> None:
+        for link in self._links():
+            try:
+                link.send(told)
+            except LinkClosedError:
+                # Without word from here the others wait for a bounded time.
+                continue
+
+    def _take_runs(self, _: Link, told: LeavingRuns) -> None:
+        runs = [
+            LeavingRun(str(row[0]), int(row[1]), float(row[2]), int(row[3]) / 1000)
+            for row in told.runs
+        ]
+        for hook in self.announce_hooks:
+            hook(told.server_id, runs)
+
+    def _take_end(self, _: Link, told: LeavingRunEnded) -> None:
+        for hook in self.end_hooks:
+            hook(told.server_id, told.run_id)
--- a/src/boragespring/sharing/messages.py
+++ b/src/boragespring/sharing/messages.py
@@ -4,7 +4,14 @@
 
 from boragespring.links import message
 
-__all__ = ["CopyAges", "CopyReply", "GatewayLoads", "ReadCopy"]
+__all__ = [
+    "CopyAges",
+    "CopyReply",
+    "GatewayLoads",
+    "LeavingRunEnded",
+    "LeavingRuns",
+    "ReadCopy",
+]
 
 
 @message(140)
@@ -59,3 +66,28 @@
     revision: int
     age_ms: int
     items: list[Any]
+
+
+@message(144)
+class LeavingRuns:
+    """Runs that a gateway has to move off a leaving server.
+
+    Parameters
+    ----------
+    server_id : str
+        The server.
+    runs : list
+        One row for each run: request, memory in tokens, value, and time in
+        milliseconds until it is expected to end by itself.
+    """
+
+    server_id: str
+    runs: list[Any]
+
+
+@message(145)
+class LeavingRunEnded:
+    """A run of a leaving server needs no more time on its link."""
+
+    server_id: str
+    run_id: str
