--- a/src/boragespring/cli/gateway.py
+++ b/src/boragespring/cli/gateway.py
@@ -1,6 +1,7 @@
 """Command that runs a gateway; imports little, as a restart has to be quick."""
 
 import asyncio
+from functools import partial
 from pathlib import Path
 from typing import Annotated
 
@@ -9,8 +10,9 @@
 from boragespring.composition.gateway import build_gateway
 from boragespring.composition.process import run_daemon
 from boragespring.decisions import DecisionLog, LogSettings, open_log_output
+from boragespring.gateway import Gateway
 from boragespring.platform.settings_file import load_gateway_settings, settings_path
-from boragespring.settings import SettingsFileError
+from boragespring.settings import SettingsError, SettingsFileError
 
 __all__ = ["add_commands", "gateway"]
 
@@ -34,14 +36,25 @@
     log_settings = LogSettings()
     output = open_log_output(loaded.name, log_settings.queue_lines)
 
+    log = DecisionLog(log_settings)
+
     async def serve() -> int:
-        return await run_daemon(build_gateway(loaded, DecisionLog(log_settings)))
+        gateway = build_gateway(loaded, log)
+        return await run_daemon(gateway, partial(_reload, path, gateway, log))
 
     exit_code = asyncio.run(serve())
     output.close()
     raise typer.Exit(exit_code)
 
 
+def _reload(path: Path, gateway: Gateway, log: DecisionLog) -> None:
+    """Read the settings again; those of a wrong file change nothing."""
+    try:
+        gateway.apply(load_gateway_settings(path))
+    except SettingsError as error:
+        log.lifecycle("reload_refused", reason=str(error))
+
+
 def main() -> None:
     """Run the gateway as a program of its own."""
     typer.run(gateway)
--- a/src/boragespring/composition/gateway.py
+++ b/src/boragespring/composition/gateway.py
@@ -1,10 +1,10 @@
 """Wire a gateway on the users' platform."""
 
 import time
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 
 import xxhash
-from attrs import frozen
+from attrs import evolve, frozen
 from prometheus_client import CollectorRegistry
 
 from boragespring.catalog import CallerLimits, CatalogHolder
@@ -30,7 +30,7 @@
 from boragespring.links.messages import PROTOCOL_VERSION
 from boragespring.membership.entry_peers import EntryPeers
 from boragespring.metrics import LinkMetrics
-from boragespring.platform.followers import CatalogFeed, FleetFeed
+from boragespring.platform.followers import CatalogFeed, FleetFeed, StoreContactLog
 from boragespring.platform.front_door import FrontDoor
 from boragespring.platform.names import CATALOG_KEY, REGISTRATION_PREFIX
 from boragespring.platform.readiness import ReadinessServer
@@ -47,11 +47,14 @@
     PresenceSettings,
 )
 from boragespring.sharing.presence import PRESENCE_PREFIX
+from boragespring.store.fan_out import PrefixFanOut
 from boragespring.store.follower import PrefixFollower
 from boragespring.store.instances import Instance, InstanceRole
 
 __all__ = ["build_gateway"]
 
+#: Prefix of every key in the store.
+ALL_KEYS = ""
 #: Most gateways that one gateway keeps links to.
 LINKS_MAX = 16
 
@@ -88,14 +91,15 @@
     presence = Presence(
         store, _own_instance(settings), peers.entries.take, PresenceSettings(), log
     )
-    followers = {
-        CATALOG_KEY: PrefixFollower(store, CATALOG_KEY, CatalogFeed(holder, log)),
-        REGISTRATION_PREFIX: PrefixFollower(
-            store, REGISTRATION_PREFIX, FleetFeed(fleet, log)
-        ),
-    }
-    presence_follower = PrefixFollower(store, PRESENCE_PREFIX, presence)
-    copies = CopySharing(followers, peers.dispatcher, CopySharingSettings(), log)
+    readers = PrefixFanOut(
+        {
+            CATALOG_KEY: CatalogFeed(holder, log),
+            REGISTRATION_PREFIX: FleetFeed(fleet, log),
+            PRESENCE_PREFIX: presence,
+        }
+    )
+    follower = PrefixFollower(store, ALL_KEYS, readers, StoreContactLog(log))
+    copies = CopySharing(follower, peers.dispatcher, CopySharingSettings(), log)
 
     def limits() -> CallerLimits:
         return holder.catalog.limits if holder.catalog else CallerLimits()
@@ -104,15 +108,14 @@
         callers=FrontDoor(settings.callers, forwarder, limits),
         listeners=[peers.server],
         loops=(
-            *(follower.run for follower in followers.values()),
-            presence_follower.run,
+            follower.run,
             presence.run,
             copies.run,
         ),
         upkeep=(fleet.drop_lapsed, loads.drop_outdated),
         closers=(presence.withdraw, store.close, calls.close),
         gate=gate,
-        bounds=settings.bounds,
+        settings=settings,
         log=log,
     )
     gateway.listeners.append(ReadinessServer(settings.readiness, gateway.why_not_ready))
@@ -149,6 +152,7 @@
     context = LinkContext(own, dispatcher, settings.links, LinkMetrics(registry))
     entries = EntryPeers(context)
     entries.add_selector(lambda: _nearest(settings, entries.entries))
+    entries.take(tuple(_seed_instances(settings)))
     return _Peers(dispatcher, LinkServer(settings.peers, context), entries)
 
 
@@ -163,6 +167,15 @@
     return frozenset(one.name for one in sorted(others, key=rank)[:LINKS_MAX])
 
 
+def _seed_instances(settings: GatewaySettings) -> Iterable[Instance]:
+    """Return gateways that are known before the store has told of any."""
+    return (
+        evolve(_own_instance(settings), name=f"seed {seed.host}", host=seed.host)
+        for seed in settings.seeds
+        if seed.host != settings.peers.host
+    )
+
+
 def _own_instance(settings: GatewaySettings) -> Instance:
     return Instance(
         name=settings.name,
@@ -178,7 +191,7 @@
 
 def _gate_settings(bounds: GatewayBounds) -> JobGateSettings:
     return JobGateSettings(
-        catalog_age_max_s=bounds.catalog_delay_s + bounds.catalog_delay_outage_s - 1.0,
+        catalog_age_max_s=bounds.revocation_age_max_s,
         unsure_age_s=bounds.catalog_delay_s,
     )
 
--- a/src/boragespring/composition/process.py
+++ b/src/boragespring/composition/process.py
@@ -3,6 +3,7 @@
 import asyncio
 import gc
 import signal
+from collections.abc import Callable
 from typing import Protocol
 
 from absl import logging
@@ -29,10 +30,11 @@
         ...
 
 
-async def run_daemon(daemon: Daemon) -> int:
+async def run_daemon(daemon: Daemon, reload: Callable[[], None] | None = None) -> int:
     """Run a daemon until a signal; return the exit code.
 
-    The first SIGTERM or SIGINT drains, a second one ends the drain.
+    The first SIGTERM or SIGINT drains, a second one ends the drain. SIGHUP
+    calls ``reload`` where there is one; without one it ends the process.
     """
     first, second = asyncio.Event(), asyncio.Event()
 
@@ -42,6 +44,8 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, on_signal)
+    if reload is not None:
+        loop.add_signal_handler(signal.SIGHUP, reload)
     await daemon.start()
     # What has been built by now lives as long as the process; the collector
     # need not visit it again.
--- a/src/boragespring/decisions/output.py
+++ b/src/boragespring/decisions/output.py
@@ -64,6 +64,7 @@
             )
         )
         self._listener = QueueListener(records, writer)
+        self._is_closed = False
 
     @property
     def dropped_lines(self) -> int:
@@ -86,7 +87,10 @@
         atexit.register(self.close)
 
     def close(self) -> None:
-        """Write what waits, for a bounded time."""
+        """Write what waits, for a bounded time; later calls do nothing."""
+        if self._is_closed:
+            return
+        self._is_closed = True
         closer = threading.Thread(target=self._listener.stop, daemon=True)
         closer.start()
         closer.join(CLOSE_TIMEOUT_S)
--- a/src/boragespring/fleet/state.py
+++ b/src/boragespring/fleet/state.py
@@ -150,10 +150,16 @@
         server.suspicions = 0
         server.suspected_until_s = float("-inf")
 
-    def note_failure(self, server: BackendServer, reason: str) -> None:
-        """Record a failure of a server; avoid it when there are too many."""
+    def note_failure(
+        self, server: BackendServer, reason: str, is_certain: bool = False
+    ) -> None:
+        """Record a failure of a server; avoid it when there are too many.
+
+        A certain failure, as of a connection, is one too many by itself.
+        """
         server.failures_in_row += 1
-        if server.failures_in_row < self._settings.suspicion_failures:
+        needed = 1 if is_certain else self._settings.suspicion_failures
+        if server.failures_in_row < needed or server.is_suspected(self._clock()):
             return
         pause_s = self._settings.suspicion_base_s * 2**server.suspicions
         server.suspected_until_s = self._clock() + min(
--- a/src/boragespring/forwarding/evacuation.py
+++ b/src/boragespring/forwarding/evacuation.py
@@ -112,8 +112,8 @@
         return run
 
     def _rank(self, run: LeavingRun) -> tuple[bool, float, str]:
-        """Put most value for each second of copying first."""
+        """Put most value for each copied token first, and keep the turn."""
+        if run.run_id == self._head_id:
+            return False, float("-inf"), run.run_id
         ends_by_itself = run.ends_in_s < self.notice_s / 2
-        copy_s = max(1.0, run.memory_tokens) * self.copy_s_per_token
-        is_running = run.run_id != self._head_id
-        return (ends_by_itself, is_running * -run.value / max(copy_s, 1e-6), run.run_id)
+        return ends_by_itself, -run.value / max(1, run.memory_tokens), run.run_id
--- a/src/boragespring/forwarding/jobs.py
+++ b/src/boragespring/forwarding/jobs.py
@@ -27,18 +27,22 @@
     Parameters
     ----------
     catalog_age_max_s : float
-        Age from which no request is served by a catalog, as it may allow what
-        a newer one does not.
+        Age from which no request is served by a catalog, where keys that were
+        taken away must not be served during an outage of the store; else
+        infinite.
     unsure_age_s : float
         Age from which an unknown route or key is not said to be unknown, as a
         newer catalog may have it.
     retry_after_s : float
         When a repeat reaches another gateway or a newer catalog.
+    start_retry_after_s : float
+        When to come back to a gateway that has no catalog yet.
     """
 
-    catalog_age_max_s: float = 6.0
+    catalog_age_max_s: float = float("inf")
     unsure_age_s: float = 1.5
     retry_after_s: float = 0.2
+    start_retry_after_s: float = 2.5
 
 
 @frozen
@@ -126,7 +130,9 @@
         """Return the job of a request, or why there is none."""
         catalog = self._holder.catalog
         if catalog is None:
-            return self._refuse_for_now(RefusalReason.NO_CATALOG)
+            return Refusal(
+                RefusalReason.NO_CATALOG, True, self._settings.start_retry_after_s
+            )
         if not self.is_catalog_usable:
             return self._refuse_for_now(RefusalReason.STALE_CATALOG)
         route = catalog.find_route(request.host, request.path)
--- a/src/boragespring/forwarding/relocation.py
+++ b/src/boragespring/forwarding/relocation.py
@@ -12,7 +12,9 @@
 from boragespring.forwarding.errors import (
     CopyRefusedError,
     ForwardingError,
+    ReplyLostError,
     RunNotFoundError,
+    ServerUnreachableError,
 )
 from boragespring.forwarding.evacuation import (
     Evacuation,
@@ -47,6 +49,8 @@
         Time for the announcements of other gateways to arrive.
     turn_pause_s : float
         Pause between two looks at whose turn it is.
+    lost_pause_s : float
+        Pause after a server did not answer.
     turn_slack_s : float
         Time beyond its copy that a run may take before others no longer wait.
     token_interval_s : float
@@ -62,6 +66,7 @@
     copies_max: int = 3
     announce_wait_s: float = 0.012
     turn_pause_s: float = 0.005
+    lost_pause_s: float = 0.1
     turn_slack_s: float = 0.3
     token_interval_s: float = 0.009
     zone_penalty_s: float = 0.4
@@ -190,6 +195,7 @@
                 self._peers.announce(server.server_id, fresh)
                 # The others announce theirs in the same moment.
                 await asyncio.sleep(self._settings.announce_wait_s)
+            evacuation.copy_s_per_token = self._copy_s_per_token(server.server_id)
             head = evacuation.head()
             stream = ready.get(head.run_id) if head is not None else None
             if stream is not None:
@@ -233,7 +239,11 @@
         except ForwardingError as error:
             self._context.fleet.run_ended(target, run_id)
             self._note_failure(stream, target, error)
-            await asyncio.sleep(self._settings.turn_pause_s)
+            if isinstance(error, ServerUnreachableError | ReplyLostError):
+                # The server has ended, or a copy to the target hangs.
+                await asyncio.sleep(self._settings.lost_pause_s)
+            else:
+                await asyncio.sleep(self._settings.turn_pause_s)
             return False
         self._context.log.request(
             "moved",
--- a/src/boragespring/forwarding/streamed.py
+++ b/src/boragespring/forwarding/streamed.py
@@ -189,7 +189,7 @@
             is_open = True
             return _Opened(server, reply)
         except ServerUnreachableError as error:
-            self._context.fleet.note_failure(server, str(error))
+            self._context.fleet.note_failure(server, str(error), is_certain=True)
             return f"unreachable: {error}"
         except ReplyLostError as error:
             self._context.fleet.note_failure(server, str(error))
--- a/src/boragespring/forwarding/whole.py
+++ b/src/boragespring/forwarding/whole.py
@@ -162,7 +162,7 @@
         try:
             reply = await self._context.calls.send(server, job.attempt())
         except ServerUnreachableError as error:
-            self._context.fleet.note_failure(server, str(error))
+            self._context.fleet.note_failure(server, str(error), is_certain=True)
             return _NotRun(str(error))
         except ReplyLostError as error:
             return _Lost(str(error))
--- a/src/boragespring/gateway/daemon.py
+++ b/src/boragespring/gateway/daemon.py
@@ -5,11 +5,12 @@
 from collections.abc import Awaitable, Callable, Coroutine, Sequence
 from typing import Protocol
 
+import attrs
 from attrs import define, field
 
 from boragespring.decisions import DecisionLog
 from boragespring.forwarding import JobGate
-from boragespring.settings.gateway import GatewayBounds
+from boragespring.settings.gateway import GatewaySettings
 
 __all__ = ["CallerServer", "Gateway", "Listener"]
 
@@ -61,8 +62,8 @@
         What is closed at the end.
     gate : JobGate
         Tells whether requests can be served.
-    bounds : GatewayBounds
-        Time for a stop.
+    settings : GatewaySettings
+        Settings in force.
     log : DecisionLog
         Where starts and stops are told.
     """
@@ -73,7 +74,7 @@
     upkeep: Sequence[Callable[[], None]]
     closers: Sequence[Callable[[], Awaitable[None]]]
     gate: JobGate
-    bounds: GatewayBounds
+    settings: GatewaySettings
     log: DecisionLog
     _tasks: list["asyncio.Task[None]"] = field(factory=list)
     _is_leaving: bool = False
@@ -86,6 +87,20 @@
             return "no catalog in force"
         return ""
 
+    def apply(self, settings: GatewaySettings) -> None:
+        """Put new settings in force.
+
+        Addresses and the store are those of the start; the bounds change.
+        """
+        before = attrs.asdict(self.settings)
+        changed = [
+            name
+            for name, value in attrs.asdict(settings).items()
+            if value != before[name]
+        ]
+        self.settings = settings
+        self.log.lifecycle("reloaded", changed=changed)
+
     async def start(self) -> None:
         """Open the ports."""
         self._tasks = [asyncio.create_task(loop()) for loop in self.loops]
@@ -105,8 +120,8 @@
         begun_s = time.monotonic()
         self._is_leaving = True
         self.callers.is_leaving = True
-        self.log.lifecycle("stopping", grace_s=self.bounds.stop_grace_s)
-        async with asyncio.timeout(self.bounds.stop_grace_s - CLOSE_DOWN_S):
+        self.log.lifecycle("stopping", grace_s=self.settings.bounds.stop_grace_s)
+        async with asyncio.timeout(self.settings.bounds.stop_grace_s - CLOSE_DOWN_S):
             await asyncio.sleep(BALANCER_DELAY_S)
             await self.callers.wait_idle()
         self.log.lifecycle("drained", took_s=round(time.monotonic() - begun_s, 3))
--- a/src/boragespring/platform/followers.py
+++ b/src/boragespring/platform/followers.py
@@ -14,30 +14,29 @@
 from boragespring.store import KeyValue
 from boragespring.store.store import WatchEvent
 
-__all__ = ["CatalogFeed", "FleetFeed"]
+__all__ = ["CatalogFeed", "FleetFeed", "StoreContactLog"]
 
 
-class _Feed:
+class StoreContactLog:
     """Tell the loss and return of the store."""
 
-    def __init__(self, name: str, log: DecisionLog) -> None:
-        self._name = name
+    def __init__(self, log: DecisionLog) -> None:
         self._log = log
 
     def on_lost(self, reason: str) -> None:
         """Tell that the store does not answer."""
-        self._log.lifecycle("store_lost", feed=self._name, reason=reason)
+        self._log.lifecycle("store_lost", reason=reason)
 
     def on_regained(self, away_s: float) -> None:
         """Tell that the store answers again."""
-        self._log.lifecycle("store_regained", feed=self._name, away_s=round(away_s, 3))
+        self._log.lifecycle("store_regained", away_s=round(away_s, 3))
 
 
-class CatalogFeed(_Feed):
+class CatalogFeed:
     """Take in the operator's configuration."""
 
     def __init__(self, holder: CatalogHolder, log: DecisionLog) -> None:
-        super().__init__("catalog", log)
+        self._log = log
         self._holder = holder
 
     def on_snapshot(self, items: Sequence[KeyValue], has_lapsed: bool) -> None:
@@ -61,11 +60,11 @@
             self._log.belief("catalog_unreadable", reason=str(error))
 
 
-class FleetFeed(_Feed):
+class FleetFeed:
     """Take in the entries of backend servers."""
 
     def __init__(self, fleet: Fleet, log: DecisionLog) -> None:
-        super().__init__("fleet", log)
+        self._log = log
         self._fleet = fleet
 
     def on_snapshot(self, items: Sequence[KeyValue], has_lapsed: bool) -> None:
--- a/src/boragespring/platform/settings_file.py
+++ b/src/boragespring/platform/settings_file.py
@@ -52,6 +52,9 @@
     configuration_ms: float = 2000.0
     # Added to the bound of configuration while the store is disturbed.
     outer_ms: float = 5000.0
+    # Whether a key may no longer be served when its removal cannot be heard.
+    strict_revocation: bool = False
+    revocation_ms: float = 5000.0
     drain_ms: float = 2000.0
     grace_s: float = 8.0
     loss_slack_ms: float = 200.0
@@ -81,6 +84,9 @@
     platform: _WirePlatform
     limits: _WireLimits = _WireLimits()
     bounds: _WireBounds = _WireBounds()
+    # Addresses at which a few machines serve operators; their ports for links
+    # are the same as here.
+    seeds: list[str] | None = None
 
 
 def settings_path() -> Path | None:
@@ -123,6 +129,10 @@
         ),
         bounds=_bounds(wire.bounds),
         links=PEER_LINKS,
+        seeds=tuple(
+            AddressSettings(seed.rpartition(":")[0], wire.internal_ports[0])
+            for seed in wire.seeds or ()
+        ),
         memory_mb=wire.limits.memory_mb,
     )
 
@@ -140,6 +150,9 @@
         contact_s=wire.contact_ms / 1000,
         catalog_delay_s=wire.configuration_ms / 1000,
         catalog_delay_outage_s=wire.outer_ms / 1000,
+        revocation_age_max_s=(
+            wire.revocation_ms / 1000 if wire.strict_revocation else float("inf")
+        ),
         leaving_delay_s=wire.drain_ms / 1000,
         stop_grace_s=wire.grace_s,
         stop_read_s=wire.loss_slack_ms / 1000,
--- a/src/boragespring/settings/gateway.py
+++ b/src/boragespring/settings/gateway.py
@@ -19,6 +19,9 @@
         Longest time until an acknowledged change is in force.
     catalog_delay_outage_s : float
         Time added to that while the store is disturbed.
+    revocation_age_max_s : float
+        Age of a catalog from which requests are refused; infinite where an
+        outage of the store does not end service.
     leaving_delay_s : float
         Longest time until a leaving server gets no new request.
     stop_grace_s : float
@@ -39,6 +42,7 @@
     contact_s: float = 3.0
     catalog_delay_s: float = 2.0
     catalog_delay_outage_s: float = 5.0
+    revocation_age_max_s: float = float("inf")
     leaving_delay_s: float = 2.0
     stop_grace_s: float = 8.0
     stop_read_s: float = 0.2
@@ -81,6 +85,8 @@
         Times by which the gateway is judged.
     memory_mb : int
         Memory that the process may take.
+    seeds : tuple of AddressSettings
+        Addresses for links of a few gateways, any of which may be down.
     links : LinkSettings
         Heartbeats of the links between gateways.
     """
@@ -95,4 +101,5 @@
     store: GatewayStoreSettings
     bounds: GatewayBounds = GatewayBounds()
     memory_mb: int = 128
+    seeds: tuple[AddressSettings, ...] = ()
     links: LinkSettings = LinkSettings()
--- a/src/boragespring/sharing/copies.py
+++ b/src/boragespring/sharing/copies.py
@@ -2,13 +2,13 @@
 
 import asyncio
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 
 from attrs import define, frozen
 
 from boragespring.decisions import DecisionLog
 from boragespring.links import CallFailedError, Dispatcher, Link, LinkClosedError
-from boragespring.sharing.messages import CopyAges, CopyReply, ReadCopy
+from boragespring.sharing.messages import CopyAge, CopyReply, ReadCopy
 from boragespring.store import KeyValue
 from boragespring.store.follower import PrefixFollower
 
@@ -39,7 +39,7 @@
 
 @define
 class _Offer:
-    """What another gateway told of its copy of one prefix."""
+    """What another gateway told of its copy."""
 
     link: Link
     revision: int
@@ -47,12 +47,12 @@
 
 
 class CopySharing:
-    """Tell the age of own copies; take over those that are more recent.
+    """Tell the age of the own copy; take over one that is more recent.
 
     Parameters
     ----------
-    followers : mapping of str to PrefixFollower
-        Followers of the store by their prefix.
+    follower : PrefixFollower
+        Follower of the store.
     dispatcher : Dispatcher
         Handlers of links.
     settings : CopySharingSettings
@@ -63,95 +63,81 @@
 
     def __init__(
         self,
-        followers: Mapping[str, PrefixFollower],
+        follower: PrefixFollower,
         dispatcher: Dispatcher,
         settings: CopySharingSettings,
         log: DecisionLog,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
-        self._followers = followers
+        self._follower = follower
         self._settings = settings
         self._log = log
         self._clock = clock
-        self._offers: dict[tuple[str, str], _Offer] = {}
-        dispatcher.on(CopyAges, self._note_ages)
+        self._offers: dict[str, _Offer] = {}
+        dispatcher.on(CopyAge, self._note_age)
         dispatcher.on_call(ReadCopy, self._answer)
-        dispatcher.on_tick(self._tell_ages)
+        dispatcher.on_tick(self._tell_age)
         dispatcher.on_down(self._forget)
 
     async def run(self) -> None:
         """Look at the ages until cancelled."""
         while True:
             await asyncio.sleep(self._settings.look_interval_s)
-            for prefix, follower in self._followers.items():
-                offer = self._better_offer(prefix, follower)
-                if offer is not None:
-                    await self._take_over(prefix, follower, offer)
+            offer = self._better_offer()
+            if offer is not None:
+                await self._take_over(offer)
 
-    def _better_offer(self, prefix: str, follower: PrefixFollower) -> _Offer | None:
-        own_at_s = follower.complete_at_s
+    def _better_offer(self) -> _Offer | None:
+        own_at_s = self._follower.complete_at_s
+        if not self._follower.is_store_lost and self._follower.revision:
+            return None
         if self._clock() - own_at_s < self._settings.own_age_max_s:
             return None
-        offers = [offer for (_, name), offer in self._offers.items() if name == prefix]
+        offers = self._offers.values()
         best = max(offers, key=lambda offer: offer.complete_at_s, default=None)
         if best is None or best.complete_at_s - own_at_s < self._settings.gain_min_s:
             return None
         return best
 
-    async def _take_over(
-        self, prefix: str, follower: PrefixFollower, offer: _Offer
-    ) -> None:
-        if offer.revision <= follower.revision and follower.revision:
-            follower.confirm_copy(offer.revision, offer.complete_at_s)
+    async def _take_over(self, offer: _Offer) -> None:
+        if offer.revision == self._follower.revision:
+            self._follower.confirm_copy(offer.revision, offer.complete_at_s)
             return
         begun_s = self._clock()
         try:
             reply = await offer.link.call(
-                ReadCopy(prefix), CopyReply, self._settings.call_timeout_s
+                ReadCopy(), CopyReply, self._settings.call_timeout_s
             )
         except (LinkClosedError, CallFailedError) as error:
-            self._log.belief("copy_refused", prefix=prefix, reason=str(error))
+            self._log.belief("copy_refused", reason=str(error))
             return
         items = [KeyValue(key, value, 0, rev) for key, value, rev in reply.items]
         complete_at_s = begun_s - reply.age_ms / 1000
-        follower.take_copy(items, reply.revision, complete_at_s)
+        self._follower.take_copy(items, reply.revision, complete_at_s)
         self._log.belief(
             "copy_taken",
-            prefix=prefix,
             peer=offer.link.peer.name,
             revision=reply.revision,
             age_ms=reply.age_ms,
         )
 
-    def _note_ages(self, link: Link, told: CopyAges) -> None:
-        now_s = self._clock()
-        for prefix, revision, age_ms in told.copies:
-            self._offers[link.peer.name, prefix] = _Offer(
-                link, revision, now_s - age_ms / 1000
-            )
+    def _note_age(self, link: Link, told: CopyAge) -> None:
+        complete_at_s = self._clock() - told.age_ms / 1000
+        self._offers[link.peer.name] = _Offer(link, told.revision, complete_at_s)
 
     def _forget(self, link: Link) -> None:
-        gone = [place for place, offer in self._offers.items() if offer.link is link]
-        for place in gone:
-            del self._offers[place]
-
-    def _tell_ages(self, link: Link) -> None:
-        now_s = self._clock()
-        link.send(
-            CopyAges(
-                [
-                    [prefix, follower.revision, _age_ms(follower, now_s)]
-                    for prefix, follower in self._followers.items()
-                    if follower.revision
-                ]
-            )
-        )
+        offer = self._offers.get(link.peer.name)
+        if offer is not None and offer.link is link:
+            del self._offers[link.peer.name]
 
-    async def _answer(self, _: Link, call: ReadCopy) -> CopyReply:
-        follower = self._followers[call.prefix]
-        rows = [[item.key, item.value, item.mod_revision] for item in follower.items]
-        return CopyReply(follower.revision, _age_ms(follower, self._clock()), rows)
+    def _tell_age(self, link: Link) -> None:
+        if self._follower.revision:
+            link.send(CopyAge(self._follower.revision, self._age_ms()))
 
+    async def _answer(self, _: Link, __: ReadCopy) -> CopyReply:
+        items = self._follower.items
+        rows = [[item.key, item.value, item.mod_revision] for item in items]
+        return CopyReply(self._follower.revision, self._age_ms(), rows)
 
-def _age_ms(follower: PrefixFollower, now_s: float) -> int:
-    return round((now_s - follower.complete_at_s) * 1000)
+    def _age_ms(self) -> int:
+        return round((self._clock() - self._follower.complete_at_s) * 1000)
--- a/src/boragespring/sharing/messages.py
+++ b/src/boragespring/sharing/messages.py
@@ -5,7 +5,7 @@
 from boragespring.links import message
 
 __all__ = [
-    "CopyAges",
+    "CopyAge",
     "CopyReply",
     "GatewayLoads",
     "LeavingRunEnded",
@@ -29,24 +29,24 @@
 
 
 @message(141)
-class CopyAges:
-    """How complete a gateway's copies of the store's content are.
+class CopyAge:
+    """How recent a gateway's copy of the store's content is.
 
     Parameters
     ----------
-    copies : list
-        One row for each prefix: prefix, store revision, and time in
-        milliseconds since the copy was known to be complete.
+    revision : int
+        Store revision of the copy.
+    age_ms : int
+        Time since the copy was known to be complete.
     """
 
-    copies: list[Any]
+    revision: int
+    age_ms: int
 
 
 @message(142)
 class ReadCopy:
-    """Call for the keys under a prefix, as the other end has them."""
-
-    prefix: str
+    """Call for all keys, as the other end has them."""
 
 
 @message(143)
--- a/src/boragespring/sharing/presence.py
+++ b/src/boragespring/sharing/presence.py
@@ -118,12 +118,6 @@
     def on_contact(self, complete_at_s: float) -> None:
         """Note that the entries were complete."""
 
-    def on_lost(self, reason: str) -> None:
-        """Keep the links to all that were known."""
-
-    def on_regained(self, away_s: float) -> None:
-        """Nothing changes until entries are read."""
-
     def _tell(self) -> None:
         self._take(tuple(self._gateways.values()))
 
--- a/src/boragespring/store/follower.py
+++ b/src/boragespring/store/follower.py
@@ -17,7 +17,7 @@
     WatchEvent,
 )
 
-__all__ = ["FollowerSettings", "FollowsPrefix", "PrefixFollower"]
+__all__ = ["FollowerSettings", "FollowsContact", "FollowsPrefix", "PrefixFollower"]
 
 
 @frozen
@@ -51,6 +51,10 @@
         """Note that the copy was complete at a monotonic time."""
         ...
 
+
+class FollowsContact(Protocol):
+    """What is told of the loss and return of the store."""
+
     def on_lost(self, reason: str) -> None:
         """Note that the store does not answer."""
         ...
@@ -71,6 +75,8 @@
         Start of the keys.
     target : FollowsPrefix
         What takes them in.
+    contact : FollowsContact
+        What is told of the loss and return of the store.
     settings : FollowerSettings, optional
         Pauses.
     """
@@ -80,12 +86,14 @@
         store: KeyValueStore,
         prefix: str,
         target: FollowsPrefix,
+        contact: FollowsContact,
         settings: FollowerSettings | None = None,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._store = store
         self._prefix = prefix
         self._target = target
+        self._contact = contact
         self._settings = settings or FollowerSettings()
         self._clock = clock
         self._items: dict[str, KeyValue] = {}
@@ -102,6 +110,11 @@
         """Store revision of the copy; 0 before the first one."""
         return self._copy_revision
 
+    @property
+    def is_store_lost(self) -> bool:
+        """Whether the last call to the store failed."""
+        return self._lost_at_s is not None
+
     @property
     def complete_at_s(self) -> float:
         """Monotonic time at which the copy was last known to be complete."""
@@ -191,7 +204,7 @@
             return
         away_s = self._clock() - self._lost_at_s
         self._lost_at_s = None
-        self._target.on_regained(away_s)
+        self._contact.on_regained(away_s)
 
     def _note_lost(self, reason: str) -> None:
         self._failures += 1
@@ -199,7 +212,7 @@
             return
         self._lost_at_s = self._clock()
         self._has_lapsed = True
-        self._target.on_lost(reason)
+        self._contact.on_lost(reason)
 
     def _pause_s(self) -> float:
         pause_s = self._settings.retry_pause_s * 2.0 ** min(self._failures - 1, 8)
