--- a/src/boragespring/catalog/holder.py
+++ b/src/boragespring/catalog/holder.py
@@ -41,6 +41,11 @@
         """Time since the catalog was last known to be the newest."""
         return self._clock() - self._confirmed_at_s
 
+    def has_engine(self, service: str) -> bool:
+        """Return whether a service's backend servers are model engines."""
+        found = self._catalog.services.get(service) if self._catalog else None
+        return found is not None and found.engine is not None
+
     def confirm(self, confirmed_at_s: float | None = None) -> None:
         """Note that the catalog in force was the newest at a time."""
         at_s = self._clock() if confirmed_at_s is None else confirmed_at_s
--- a/src/boragespring/composition/gateway.py
+++ b/src/boragespring/composition/gateway.py
@@ -25,6 +25,7 @@
     WholeForwarder,
     WholeSettings,
 )
+from boragespring.forwarding.inspection import Inspection, InspectionSettings
 from boragespring.gateway import Gateway
 from boragespring.links import Dispatcher, Identity, Link, LinkContext, LinkServer
 from boragespring.links.messages import PROTOCOL_VERSION
@@ -101,6 +102,19 @@
     follower = PrefixFollower(store, ALL_KEYS, readers, StoreContactLog(log))
     copies = CopySharing(follower, peers.dispatcher, CopySharingSettings(), log)
 
+    inspection = Inspection(
+        fleet=fleet,
+        calls=calls,
+        settings=InspectionSettings(),
+        own_name=settings.name,
+        peer_names=lambda: [link.peer.name for link in peers.links()],
+        copy_age_s=lambda: time.monotonic() - follower.complete_at_s,
+        serves_reports=holder.has_engine,
+        tell_leaving=evacuations.tell_leaving,
+        log=log,
+    )
+    evacuations.leaving_hooks.append(inspection.take_leaving)
+
     def limits() -> CallerLimits:
         return holder.catalog.limits if holder.catalog else CallerLimits()
 
@@ -111,6 +125,7 @@
             follower.run,
             presence.run,
             copies.run,
+            inspection.run,
         ),
         upkeep=(fleet.drop_lapsed, loads.drop_outdated),
         closers=(presence.withdraw, store.close, calls.close),
--- a/src/boragespring/fleet/model.py
+++ b/src/boragespring/fleet/model.py
@@ -70,6 +70,10 @@
         Memory that cannot be evicted, and all of it.
     reported_at_s : float
         Monotonic time at which the report arrived.
+    is_leaving : bool
+        Whether the server takes no new requests.
+    leaves_in_s : float or None
+        Time until the server ends; None while it is not known.
     """
 
     running: int
@@ -77,6 +81,8 @@
     memory_used_tokens: int
     memory_total_tokens: int
     reported_at_s: float
+    is_leaving: bool = False
+    leaves_in_s: float | None = None
 
 
 @define(eq=False)
--- a/src/boragespring/fleet/state.py
+++ b/src/boragespring/fleet/state.py
@@ -94,6 +94,10 @@
             server.left_at_s = None
             self._tell("server_back", server)
 
+    def mark_leaving(self, server: BackendServer, reason: str) -> None:
+        """Note that a server leaves though its entry does not say so yet."""
+        self._leave(server, reason)
+
     def unregister(self, server_id: str, reason: str) -> None:
         """Note that a server's entry was removed."""
         self._lapsing_since_s.pop(server_id, None)
--- a/src/boragespring/forwarding/evacuation.py
+++ b/src/boragespring/forwarding/evacuation.py
@@ -64,20 +64,20 @@
 
     Parameters
     ----------
-    copy_s_per_token : float
-        Time that the copy of one token takes.
+    ends_at_s : float
+        Monotonic time at which the server is expected to end.
     turn_slack_s : float
         Time beyond its copy that a run at the head may take before the others
         no longer wait for it.
-    notice_s : float
-        Time between the word that the server leaves and its end.
+    copy_s_per_token : float
+        Time that the copy of one token takes to where the runs can go.
     clock : callable
         Source of time in seconds.
     """
 
-    copy_s_per_token: float
+    ends_at_s: float
     turn_slack_s: float
-    notice_s: float
+    copy_s_per_token: float = 0.0
     clock: Callable[[], float] = time.monotonic
     _runs: dict[str, LeavingRun] = field(factory=dict)
     _ended: set[str] = field(factory=set)
@@ -97,23 +97,32 @@
 
     def head(self) -> LeavingRun | None:
         """Return the run whose turn it is."""
-        run = min(self._runs.values(), key=self._rank, default=None)
+        left_s = self.ends_at_s - self.clock()
+        run = min(
+            self._runs.values(), key=lambda one: self._rank(one, left_s), default=None
+        )
         if run is None:
             return None
         if run.run_id != self._head_id:
             self._head_id, self._head_since_s = run.run_id, self.clock()
             return run
-        # A copy to another availability zone takes twice as long.
-        copy_s = 2 * run.memory_tokens * self.copy_s_per_token
-        if self.clock() - self._head_since_s > copy_s + self.turn_slack_s:
+        patience_s = self._copy_s(run) + self.turn_slack_s
+        if self.clock() - self._head_since_s > patience_s:
             # Its gateway does not move it: the others go on.
             self.end(run.run_id)
             return self.head()
         return run
 
-    def _rank(self, run: LeavingRun) -> tuple[bool, float, str]:
-        """Put most value for each copied token first, and keep the turn."""
+    def _copy_s(self, run: LeavingRun) -> float:
+        return run.memory_tokens * self.copy_s_per_token
+
+    def _rank(self, run: LeavingRun, left_s: float) -> tuple[bool, float, str]:
+        """Keep the turn; then most value for each token of those that fit.
+
+        Runs that end by themselves, or whose copy would not be complete before
+        the server ends, come last.
+        """
         if run.run_id == self._head_id:
             return False, float("-inf"), run.run_id
-        ends_by_itself = run.ends_in_s < self.notice_s / 2
-        return ends_by_itself, -run.value / max(1, run.memory_tokens), run.run_id
+        is_late = run.ends_in_s < left_s or self._copy_s(run) > left_s
+        return is_late, -run.value / max(1, run.memory_tokens), run.run_id
--- a/src/boragespring/forwarding/messages.py
+++ b/src/boragespring/forwarding/messages.py
@@ -7,6 +7,7 @@
 from attrs import frozen
 
 from boragespring.fleet import BackendServer, ServerAddress
+from boragespring.fleet.model import ServerReport
 
 __all__ = [
     "Attempt",
@@ -251,6 +252,10 @@
         """
         ...
 
+    async def fetch_report(self, server: BackendServer) -> ServerReport:
+        """Read a model server's load and state; raise `ForwardingError`."""
+        ...
+
     async def release_copy(self, server: BackendServer, copy_id: str) -> None:
         """Free a copy that is not used, at both ends."""
         ...
--- a/src/boragespring/forwarding/relocation.py
+++ b/src/boragespring/forwarding/relocation.py
@@ -55,21 +55,31 @@
         Time beyond its copy that a run may take before others no longer wait.
     token_interval_s : float
         Usual time between two tokens.
+    ask_pause_s : float
+        Pause before a server is asked again when it ends.
+    report_age_s : float
+        Age that a report may have when it arrives.
+    zone_factor : float
+        How much longer a copy to another availability zone takes.
     zone_penalty_s : float
-        Cost of a copy to another availability zone, which takes twice as long.
+        Cost of a copy to another availability zone, which takes the link's time
+        from other runs.
     output_value : float
         Value of a generated token against one of the prompt.
     """
 
     notice_s: float = 1.6
-    small_copy_s: float = 0.25
+    small_copy_s: float = 0.6
     copies_max: int = 3
     announce_wait_s: float = 0.012
     turn_pause_s: float = 0.005
     lost_pause_s: float = 0.1
     turn_slack_s: float = 0.3
     token_interval_s: float = 0.009
-    zone_penalty_s: float = 0.4
+    ask_pause_s: float = 0.25
+    report_age_s: float = 0.55
+    zone_factor: float = 2.0
+    zone_penalty_s: float = 0.6
     output_value: float = 10.0
 
 
@@ -111,6 +121,7 @@
         self._streams: dict[str, RunningStream] = {}
         self._evacuations: dict[str, Evacuation] = {}
         self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._asking: set[asyncio.Task[None]] = set()
         context.fleet.leave_hooks.append(self._on_leave)
 
     def add(self, stream: RunningStream) -> None:
@@ -141,21 +152,39 @@
         known = self._evacuations.get(server_id)
         if known is None:
             known = Evacuation(
-                copy_s_per_token=self._copy_s_per_token(server_id),
+                ends_at_s=time.monotonic() + self._settings.notice_s,
                 turn_slack_s=self._settings.turn_slack_s,
-                notice_s=self._settings.notice_s,
             )
             self._evacuations[server_id] = known
         return known
 
-    def _copy_s_per_token(self, server_id: str) -> float:
-        engines = (
-            stream.job.service.engine
-            for stream in self._streams.values()
-            if stream.server.server_id == server_id
+    def _copy_s_per_token(self, server: BackendServer, engine: EngineProfile) -> float:
+        """Return the time of a token's copy to the nearest possible target."""
+        targets = self._context.fleet.candidates(server.registration.service)
+        has_near = any(
+            one.availability_zone == server.availability_zone for one in targets
         )
-        engine = next(filter(None, engines), None)
-        return copy_time_s(1.0, engine) if engine is not None else 0.0
+        factor = 1.0 if has_near else self._settings.zone_factor
+        return factor * copy_time_s(1.0, engine)
+
+    async def _ask_for_end(self, server: BackendServer, evacuation: Evacuation) -> None:
+        """Learn from the server when it ends."""
+        while server.server_id in self._tasks:
+            try:
+                report = await self._context.calls.fetch_report(server)
+            except ForwardingError as error:
+                self._context.log.belief(
+                    "report_missing", server=server.server_id, reason=str(error)
+                )
+                return
+            if report.leaves_in_s is not None:
+                left_s = report.leaves_in_s - self._settings.report_age_s
+                evacuation.ends_at_s = report.reported_at_s + left_s
+                self._context.log.belief(
+                    "server_end_known", server=server.server_id, in_s=round(left_s, 3)
+                )
+                return
+            await asyncio.sleep(self._settings.ask_pause_s)
 
     def _end(self, server_id: str, run_id: str) -> None:
         evacuation = self._evacuations.get(server_id)
@@ -177,6 +206,9 @@
     async def _evacuate(self, server: BackendServer) -> None:
         """Move the runs of a server, in turn with other gateways."""
         evacuation = self._evacuation(server.server_id)
+        asking = asyncio.create_task(self._ask_for_end(server, evacuation))
+        self._asking.add(asking)
+        asking.add_done_callback(self._asking.discard)
         announced: set[str] = set()
         while any(one.server is server for one in self._streams.values()):
             ready = {
@@ -195,7 +227,10 @@
                 self._peers.announce(server.server_id, fresh)
                 # The others announce theirs in the same moment.
                 await asyncio.sleep(self._settings.announce_wait_s)
-            evacuation.copy_s_per_token = self._copy_s_per_token(server.server_id)
+            engines = (stream.job.service.engine for stream in ready.values())
+            engine = next(filter(None, engines), None)
+            if engine is not None:
+                evacuation.copy_s_per_token = self._copy_s_per_token(server, engine)
             head = evacuation.head()
             stream = ready.get(head.run_id) if head is not None else None
             if stream is not None:
@@ -317,7 +352,8 @@
         left_at_s = server.left_at_s
         if left_at_s is None:
             return False
-        return time.monotonic() - left_at_s > 0.6 * self._settings.notice_s
+        evacuation = self._evacuations.get(server.server_id)
+        return evacuation is None or time.monotonic() > evacuation.ends_at_s - 0.3
 
     def _choose_target(self, stream: RunningStream) -> BackendServer | None:
         engine = stream.job.service.engine
--- a/src/boragespring/platform/server_calls.py
+++ b/src/boragespring/platform/server_calls.py
@@ -12,6 +12,7 @@
 from yarl import URL
 
 from boragespring.fleet import BackendServer, ServerAddress
+from boragespring.fleet.model import ServerReport
 from boragespring.forwarding import (
     Attempt,
     CopyRefusedError,
@@ -45,10 +46,13 @@
         Longest wait for a connection.
     copy_timeout_s : float
         Longest wait for a copy of a run.
+    report_timeout_s : float
+        Longest wait for a report.
     """
 
     connect_timeout_s: float = 0.3
     copy_timeout_s: float = 3.0
+    report_timeout_s: float = 0.5
 
 
 class _HttpReply:
@@ -145,16 +149,40 @@
         """Free a copy that is not used, at both ends."""
         await self._call(server, "DELETE", f"/kv-handle/{copy_id}", None)
 
+    async def fetch_report(self, server: BackendServer) -> ServerReport:
+        """Read a model server's load and state, some hundred milliseconds old."""
+        status, body = await self._call(
+            server, "GET", "/report", None, self._settings.report_timeout_s
+        )
+        if status != _OK:
+            raise ReplyLostError(f"report with status {status}")
+        leaves_ms = body.get("leaves_ms")
+        return ServerReport(
+            running=int(body.get("running") or 0),
+            waiting=int(body.get("waiting") or 0),
+            # Cached prompts, which may be evicted, are not counted as used.
+            memory_used_tokens=int(body.get("kv_cache_used") or 0),
+            memory_total_tokens=int(body.get("kv_cache_total") or 0),
+            reported_at_s=time.monotonic(),
+            is_leaving=body.get("state") == "draining" or leaves_ms is not None,
+            leaves_in_s=None if leaves_ms is None else float(leaves_ms) / 1000,
+        )
+
     async def close(self) -> None:
         """Close the connections."""
         if self._session is not None:
             await self._session.close()
 
     async def _call(
-        self, server: BackendServer, method: str, path: str, body: object
+        self,
+        server: BackendServer,
+        method: str,
+        path: str,
+        body: object,
+        timeout_s: float | None = None,
     ) -> tuple[int, dict[str, Any]]:
         timeout = aiohttp.ClientTimeout(
-            total=self._settings.copy_timeout_s,
+            total=timeout_s or self._settings.copy_timeout_s,
             sock_connect=self._settings.connect_timeout_s,
         )
         url = f"http://{server.address}{path}"
--- a/src/boragespring/sharing/evacuations.py
+++ b/src/boragespring/sharing/evacuations.py
@@ -5,12 +5,17 @@
 from boragespring.forwarding.evacuation import LeavingRun
 from boragespring.links import Dispatcher, Link, LinkClosedError
 from boragespring.links.codec import Message
-from boragespring.sharing.messages import LeavingRunEnded, LeavingRuns
+from boragespring.sharing.messages import (
+    LeavingRunEnded,
+    LeavingRuns,
+    ServerLeaving,
+)
 
 __all__ = ["EvacuationSharing"]
 
 AnnounceHook = Callable[[str, list[LeavingRun]], None]
 EndHook = Callable[[str, str], None]
+LeavingHook = Callable[[str], None]
 
 
 class EvacuationSharing:
@@ -28,6 +33,8 @@
         self._links = links
         self.announce_hooks: list[AnnounceHook] = []
         self.end_hooks: list[EndHook] = []
+        self.leaving_hooks: list[LeavingHook] = []
+        dispatcher.on(ServerLeaving, self._take_leaving)
         dispatcher.on(LeavingRuns, self._take_runs)
         dispatcher.on(LeavingRunEnded, self._take_end)
 
@@ -48,6 +55,10 @@
         """Tell that a run was moved, has ended, or cannot be moved."""
         self._send(LeavingRunEnded(server_id, run_id))
 
+    def tell_leaving(self, server_id: str) -> None:
+        """Tell that a server leaves, which the store may not show."""
+        self._send(ServerLeaving(server_id))
+
     def _send(self, told: Message) -> None:
         for link in self._links():
             try:
@@ -67,3 +78,7 @@
     def _take_end(self, _: Link, told: LeavingRunEnded) -> None:
         for hook in self.end_hooks:
             hook(told.server_id, told.run_id)
+
+    def _take_leaving(self, _: Link, told: ServerLeaving) -> None:
+        for hook in self.leaving_hooks:
+            hook(told.server_id)
--- a/src/boragespring/sharing/messages.py
+++ b/src/boragespring/sharing/messages.py
@@ -11,6 +11,7 @@
     "LeavingRunEnded",
     "LeavingRuns",
     "ReadCopy",
+    "ServerLeaving",
 ]
 
 
@@ -91,3 +92,10 @@
 
     server_id: str
     run_id: str
+
+
+@message(146)
+class ServerLeaving:
+    """A server has told a gateway that it leaves."""
+
+    server_id: str
