--- a/src/boragespring/composition/gateway.py
+++ b/src/boragespring/composition/gateway.py
@@ -68,7 +68,7 @@
     store = PlatformStore(PlatformStoreSettings(settings.store.url))
     calls = HttpServerCalls(ServerCallSettings())
     gate = JobGate(holder, _gate_settings(settings.bounds))
-    peers = _build_peers(settings, registry)
+    peers = _build_peers(settings, registry, log)
     loads = LoadSharing(fleet, peers.dispatcher, peers.links, LoadSharingSettings())
     context = ForwardingContext(
         fleet=fleet,
@@ -155,8 +155,16 @@
         return max(1, len(self.entries.entries))
 
 
-def _build_peers(settings: GatewaySettings, registry: CollectorRegistry) -> _Peers:
+def _build_peers(
+    settings: GatewaySettings, registry: CollectorRegistry, log: DecisionLog
+) -> _Peers:
     dispatcher = Dispatcher()
+    dispatcher.on_up(lambda link: log.lifecycle("peer_up", peer=link.peer.name))
+    dispatcher.on_down(
+        lambda link: log.lifecycle(
+            "peer_down", peer=link.peer.name, reason=link.close_reason
+        )
+    )
     own = Identity(
         protocol_version=PROTOCOL_VERSION,
         name=settings.name,
@@ -185,9 +193,14 @@
 def _seed_instances(settings: GatewaySettings) -> Iterable[Instance]:
     """Return gateways that are known before the store has told of any."""
     return (
-        evolve(_own_instance(settings), name=f"seed {seed.host}", host=seed.host)
+        evolve(
+            _own_instance(settings),
+            name=f"seed {seed.host}:{seed.port}",
+            host=seed.host,
+            link_port=seed.port,
+        )
         for seed in settings.seeds
-        if seed.host != settings.peers.host
+        if seed != settings.peers
     )
 
 
--- a/src/boragespring/forwarding/relocation.py
+++ b/src/boragespring/forwarding/relocation.py
@@ -193,7 +193,8 @@
             self._peers.ended(server_id, run_id)
 
     def _on_leave(self, server: BackendServer) -> None:
-        if server.server_id in self._tasks:
+        has_streams = any(one.server is server for one in self._streams.values())
+        if server.server_id in self._tasks or not has_streams:
             return
         task = asyncio.create_task(self._evacuate(server))
         self._tasks[server.server_id] = task
--- /dev/null
+++ b/src/boragespring/platform/emulator/deployment.py
@@ -0,0 +1,258 @@
+"""A whole deployment on loopback: store, servers and gateways."""
+
+import asyncio
+import json
+import time
+from collections.abc import Iterable, Sequence
+from typing import Any
+
+from attrs import define, field, frozen
+
+from boragespring.composition.gateway import build_gateway
+from boragespring.decisions import DecisionLog
+from boragespring.gateway import Gateway
+from boragespring.platform import names
+from boragespring.platform.emulator.engine import EmulatedEngine, EngineSpec
+from boragespring.platform.emulator.plain import EmulatedService
+from boragespring.platform.emulator.store import EmulatedStore
+from boragespring.settings import AddressSettings, LinkSettings
+from boragespring.settings.gateway import (
+    GatewayBounds,
+    GatewaySettings,
+    GatewayStoreSettings,
+)
+
+__all__ = ["EmulatedPlatform", "GatewayProcess", "RouteSpec"]
+
+_LOOPBACK = "127.0.0.1"
+MODEL_SERVICE = "models"
+PLAIN_SERVICE = "desk"
+FAST_LINKS = LinkSettings(0.05, 0.6, 0.5, 0.05, 0.2)
+
+
+@frozen
+class RouteSpec:
+    """Route of the emulated configuration.
+
+    Parameters
+    ----------
+    prefix : str
+        Path prefix.
+    kind : str
+        What may be repeated, as the platform spells it.
+    service : str
+        Service that answers.
+    timeout_ms : int
+        Longest wait.
+    attempts : int
+        Most servers that may run a request.
+    is_public : bool
+        Whether no key is needed.
+    """
+
+    prefix: str
+    kind: str
+    service: str
+    timeout_ms: int = 5000
+    attempts: int = 1
+    is_public: bool = False
+
+
+STANDARD_ROUTES = (
+    RouteSpec("/draft/", "streaming", MODEL_SERVICE, 20_000),
+    RouteSpec("/book/", "non_idempotent", PLAIN_SERVICE, 800),
+    RouteSpec("/look/", "idempotent", PLAIN_SERVICE, 800, attempts=2),
+)
+
+
+@define(eq=False)
+class GatewayProcess:
+    """A gateway of the deployment with its ports, and a test's notes on it."""
+
+    settings: GatewaySettings
+    gateway: Gateway
+    notes: dict[str, Any] = field(factory=dict)
+
+    @property
+    def url(self) -> str:
+        """Base address for callers."""
+        callers = self.settings.callers
+        return f"http://{callers.host}:{callers.port}"
+
+
+@define(eq=False)
+class EmulatedPlatform:
+    """Store, servers and gateways that are started together.
+
+    Parameters
+    ----------
+    store : EmulatedStore
+        The store.
+    routes : sequence of RouteSpec
+        Routes of the configuration.
+    keys : dict of str to list of str
+        Keys by workspace.
+    host : str
+        Host that callers name.
+    """
+
+    store: EmulatedStore = field(factory=EmulatedStore)
+    routes: Sequence[RouteSpec] = STANDARD_ROUTES
+    keys: dict[str, list[str]] = field(factory=lambda: {"coop": ["key-1"]})
+    host: str = "desk.example"
+    version: int = 1
+    engine_spec: EngineSpec = EngineSpec()
+    engines: dict[str, EmulatedEngine] = field(factory=dict)
+    services: dict[str, EmulatedService] = field(factory=dict)
+    gateways: list[GatewayProcess] = field(factory=list)
+    _engines_by_address: dict[str, EmulatedEngine] = field(factory=dict)
+
+    async def start(self, engines: int = 0, services: int = 0) -> None:
+        """Start the store and servers, and write the configuration."""
+        await self.store.start()
+        for number in range(engines):
+            await self.add_engine(f"engine-{number}")
+        for number in range(services):
+            await self.add_service(f"desk-{number}")
+        self.configure()
+
+    async def stop(self) -> None:
+        """Stop everything."""
+        for process in self.gateways:
+            await process.gateway.stop()
+        for engine in list(self.engines.values()):
+            await engine.stop()
+        for service in self.services.values():
+            await service.stop()
+        await self.store.stop()
+
+    def configure(self) -> None:
+        """Write the present routes and keys as the next version."""
+        self.version += 3
+        self.store.put(names.CATALOG_KEY, json.dumps(self._document()).encode())
+
+    async def add_engine(self, name: str, zone: str = "zone-a") -> EmulatedEngine:
+        """Start a model engine and register it."""
+        engine = EmulatedEngine(name, self.engine_spec, self._engines_by_address)
+        await engine.start()
+        self.engines[name] = engine
+        self.register(name, MODEL_SERVICE, engine.port, engine.spec.slots, zone)
+        return engine
+
+    async def add_service(self, name: str, zone: str = "zone-a") -> EmulatedService:
+        """Start a server of the plain service and register it."""
+        service = EmulatedService(name)
+        await service.start()
+        self.services[name] = service
+        self.register(name, PLAIN_SERVICE, service.port, 6, zone)
+        return service
+
+    def register(
+        self,
+        name: str,
+        service: str,
+        port: int,
+        slots: int,
+        zone: str = "zone-a",
+        state: str = "ready",
+    ) -> None:
+        """Write a server's entry."""
+        entry = {
+            "service": service,
+            "address": f"{_LOOPBACK}:{port}",
+            "zone": zone,
+            "version": "v1",
+            "slots": slots,
+            "state": state,
+            "cold_remaining_ms": 0,
+            "sequence": 1,
+            "born": 1,
+        }
+        key = names.REGISTRATION_PREFIX + name
+        self.store.put(key, json.dumps(entry).encode())
+
+    def reclaim(self, name: str, notice_s: float) -> "asyncio.Task[None]":
+        """Let an engine say that it leaves, and end it after a notice."""
+        engine = self.engines[name]
+        engine.leaves_at_s = time.monotonic() + notice_s
+        self.register(
+            name, MODEL_SERVICE, engine.port, engine.spec.slots, state="draining"
+        )
+
+        async def end() -> None:
+            await asyncio.sleep(notice_s)
+            await engine.crash()
+            self.store.remove(names.REGISTRATION_PREFIX + name)
+
+        return asyncio.create_task(end())
+
+    async def add_gateway(
+        self,
+        name: str,
+        ports: Iterable[int],
+        log: DecisionLog | None = None,
+        seeds: Sequence[int] = (),
+        bounds: GatewayBounds | None = None,
+        store_url: str = "",
+    ) -> GatewayProcess:
+        """Start a gateway on four free ports."""
+        callers, readiness, peers, metrics = (
+            AddressSettings(_LOOPBACK, port) for port in ports
+        )
+        settings = GatewaySettings(
+            name=name,
+            availability_zone="zone-a",
+            region="region",
+            callers=callers,
+            readiness=readiness,
+            peers=peers,
+            metrics=metrics,
+            store=GatewayStoreSettings(store_url or f"http://{self.store.address}"),
+            bounds=bounds or GatewayBounds(),
+            seeds=tuple(AddressSettings(_LOOPBACK, port) for port in seeds),
+            links=FAST_LINKS,
+        )
+        gateway = build_gateway(settings, log or DecisionLog())
+        await gateway.start()
+        process = GatewayProcess(settings, gateway)
+        self.gateways.append(process)
+        return process
+
+    def _document(self) -> dict[str, Any]:
+        spec = self.engine_spec
+        engine = {
+            "slots": spec.slots,
+            "kv_cache_tokens": spec.memory_tokens,
+            "kv_token_bytes": 1000,
+            "link_mbps": 8e-3 / spec.copy_s_per_token,
+            "moves": True,
+            "backups": True,
+            "stride": spec.tokens_per_event,
+            "handle_s": 5.0,
+        }
+        return {
+            "version": self.version,
+            "routes": [self._route(route) for route in self.routes],
+            "services": [
+                {"name": MODEL_SERVICE, "connection_limit": 250, "engine": engine},
+                {"name": PLAIN_SERVICE, "connection_limit": 100},
+            ],
+            "limits": {"header_bytes": 16384, "body_bytes": 65536},
+            "tenants": [
+                {"name": name, "api_keys": keys} for name, keys in self.keys.items()
+            ],
+        }
+
+    def _route(self, route: RouteSpec) -> dict[str, Any]:
+        return {
+            "name": f"r{route.prefix}",
+            "host": self.host,
+            "path_prefix": route.prefix,
+            "kind": route.kind,
+            "timeout_ms": route.timeout_ms,
+            "latency_goal_ms": 400,
+            "priority": 1,
+            "service": route.service,
+            "attempts": route.attempts,
+            "public": route.is_public,
+        }
--- /dev/null
+++ b/src/boragespring/platform/emulator/engine.py
@@ -0,0 +1,243 @@
+"""A model engine's backend server: batches, memory, moves, reports."""
+
+import asyncio
+import itertools
+import json
+import time
+
+from aiohttp import web
+from attrs import define, field, frozen
+
+from boragespring.platform import names
+
+__all__ = ["EmulatedEngine", "EngineSpec"]
+
+_LOOPBACK = "127.0.0.1"
+
+
+@frozen
+class EngineSpec:
+    """Speed and size of an engine.
+
+    Parameters
+    ----------
+    slots : int
+        Requests that run at once.
+    memory_tokens : int
+        Tokens that its memory holds.
+    prefill_tokens_per_s : float
+        Rate at which prompts are read.
+    event_s : float
+        Time between two events of a stream.
+    tokens_per_event : int
+        Tokens that one event holds.
+    copy_s_per_token : float
+        Time that the copy of a token takes.
+    report_age_s : float
+        Age of reports.
+    """
+
+    slots: int = 24
+    memory_tokens: int = 30_000
+    prefill_tokens_per_s: float = 200_000.0
+    event_s: float = 0.02
+    tokens_per_event: int = 4
+    copy_s_per_token: float = 0.00002
+    report_age_s: float = 0.0
+
+
+@define(eq=False)
+class _Run:
+    """One generation."""
+
+    run_id: str
+    prompt_tokens: int
+    events_max: int
+    events: int = 0
+    is_stopped: bool = False
+
+    def tokens(self, spec: EngineSpec) -> int:
+        return self.prompt_tokens + self.events * spec.tokens_per_event
+
+
+@define(eq=False)
+class _Copy:
+    """Memory of a run that arrived from another engine."""
+
+    copy_id: str
+    run: _Run
+
+
+@define(eq=False)
+class EmulatedEngine:
+    """Engine that streams events whose data tell their place.
+
+    Parameters
+    ----------
+    server_id : str
+        Its identity.
+    spec : EngineSpec
+        Speed and size.
+    peers : dict
+        All engines by address, between which runs move.
+    """
+
+    server_id: str
+    spec: EngineSpec
+    peers: dict[str, "EmulatedEngine"]
+    runs: dict[str, _Run] = field(factory=dict)
+    copies: dict[str, _Copy] = field(factory=dict)
+    seen: list[dict[str, str]] = field(factory=list)
+    started: list[str] = field(factory=list)
+    refuses_copies: bool = False
+    leaves_at_s: float | None = None
+    port: int = 0
+    _copy_ids: "itertools.count[int]" = field(factory=lambda: itertools.count(1))
+    _link: asyncio.Lock = field(factory=asyncio.Lock)
+    _runner: web.AppRunner | None = None
+
+    @property
+    def address(self) -> str:
+        """Address of the server."""
+        return f"{_LOOPBACK}:{self.port}"
+
+    @property
+    def used_tokens(self) -> int:
+        """Memory of runs and of copies."""
+        held = [*self.runs.values(), *(copy.run for copy in self.copies.values())]
+        return sum(run.tokens(self.spec) for run in held)
+
+    async def start(self) -> None:
+        """Open the port."""
+        app = web.Application()
+        app.router.add_get("/report", self._report)
+        app.router.add_post("/kv-move", self._move)
+        app.router.add_delete("/kv-handle/{copy}", self._drop)
+        app.router.add_post("/{path:.*}", self._generate)
+        self._runner = web.AppRunner(
+            app, access_log=None, handler_cancellation=True, shutdown_timeout=0.01
+        )
+        await self._runner.setup()
+        await web.TCPSite(self._runner, _LOOPBACK, self.port).start()
+        self.port = int(self._runner.addresses[0][1])
+        self.peers[self.address] = self
+
+    async def crash(self) -> None:
+        """End at once, with every connection."""
+        self.peers.pop(self.address, None)
+        if self._runner is not None and self._runner.server is not None:
+            for connection in self._runner.server.connections:
+                if connection.transport is not None:
+                    connection.transport.abort()
+            await self._runner.cleanup()
+            self._runner = None
+
+    stop = crash
+
+    async def _report(self, _: web.Request) -> web.Response:
+        body = {
+            "stage": "both",
+            "models": [],
+            "busy": False,
+            "sequence": 1,
+            "waiting": 0,
+            "running": len(self.runs),
+            "kv_cache_used": self.used_tokens,
+            "kv_cache_total": self.spec.memory_tokens,
+            "handles": len(self.copies),
+            "state": "ready" if self.leaves_at_s is None else "draining",
+        }
+        if self.leaves_at_s is not None:
+            left_s = self.leaves_at_s - time.monotonic() + self.spec.report_age_s
+            body["leaves_ms"] = round(left_s * 1000)
+        return web.json_response(body)
+
+    async def _move(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        run = self.runs.get(body["id"])
+        if run is None or not run.events:
+            return web.json_response({}, status=404)
+        target = self.peers.get(body["target"])
+        if target is None or target.refuses_copies:
+            return web.json_response({}, status=503)
+        if body.get("last"):
+            run.is_stopped = True
+        known = target.copies.get(run.run_id)
+        fresh = run.tokens(self.spec) - (known.run.tokens(self.spec) if known else 0)
+        async with self._link:
+            await asyncio.sleep(fresh * self.spec.copy_s_per_token)
+        copied = _Run(run.run_id, run.prompt_tokens, run.events_max, run.events)
+        copy_id = known.copy_id if known else f"c{next(self._copy_ids)}"
+        target.copies[run.run_id] = _Copy(copy_id, copied)
+        return web.json_response({"handle": copy_id, "created": run.events})
+
+    async def _drop(self, request: web.Request) -> web.Response:
+        copy_id = request.match_info["copy"]
+        for engine in self.peers.values():
+            for run_id, copy in list(engine.copies.items()):
+                if copy.copy_id == copy_id:
+                    del engine.copies[run_id]
+        return web.json_response({})
+
+    async def _generate(self, request: web.Request) -> web.StreamResponse:
+        headers = {name.lower(): value for name, value in request.headers.items()}
+        self.seen.append(headers)
+        run_id = headers[names.REQUEST_ID.lower()]
+        if headers.get(names.EXPECTED_SERVER.lower()) != self.server_id:
+            return web.Response(status=421)
+        run = self._admit(run_id, headers)
+        if run is None:
+            return web.Response(status=503, headers={names.NOT_RUN: "1"})
+        self.runs[run_id] = run
+        try:
+            return await self._stream(request, run)
+        finally:
+            self.runs.pop(run_id, None)
+
+    def _admit(self, run_id: str, headers: dict[str, str]) -> _Run | None:
+        source = headers.get(names.COPY_SOURCE.lower())
+        if source:
+            copy = self.copies.pop(run_id, None)
+            is_own = copy is not None and source.endswith(f"/{copy.copy_id}")
+            return copy.run if copy is not None and is_own else None
+        prompt, output = map(int, headers[names.TOKEN_COUNTS.lower()].split(","))
+        if len(self.runs) >= self.spec.slots:
+            return None
+        if self.used_tokens + prompt > self.spec.memory_tokens:
+            return None
+        self.started.append(run_id)
+        return _Run(run_id, prompt, -(-output // self.spec.tokens_per_event))
+
+    async def _stream(self, request: web.Request, run: _Run) -> web.StreamResponse:
+        if not run.events:
+            await asyncio.sleep(run.prompt_tokens / self.spec.prefill_tokens_per_s)
+        response = web.StreamResponse(
+            headers={
+                "Content-Type": "text/event-stream",
+                names.REQUEST_ID: run.run_id,
+                names.SIGNATURE: "signed",
+            }
+        )
+        response.enable_chunked_encoding()
+        await response.prepare(request)
+        sent = int(request.headers.get(names.LAST_EVENT_ID) or 0)
+        for number in range(sent + 1, run.events + 1):
+            await response.write(_event(number))
+        while run.events < run.events_max:
+            await asyncio.sleep(self.spec.event_s)
+            if run.is_stopped:
+                return _cut(request, response)
+            run.events += 1
+            await response.write(_event(run.events))
+        return response
+
+
+def _event(number: int) -> bytes:
+    return f"id: {number}\ndata: {json.dumps({'n': number})}\n\n".encode()
+
+
+def _cut(request: web.Request, response: web.StreamResponse) -> web.StreamResponse:
+    """Close the stream without its end."""
+    if request.transport is not None:
+        request.transport.close()
+    return response
--- /dev/null
+++ b/src/boragespring/platform/emulator/plain.py
@@ -0,0 +1,212 @@
+"""A plain service's backend server, written byte by byte so that it can fail."""
+
+import asyncio
+import socket
+import struct
+from collections import deque
+from enum import Enum, auto
+
+from attrs import define, field, frozen
+
+from boragespring.platform import names
+
+__all__ = ["EmulatedService", "SeenRequest", "ServiceFault"]
+
+_LOOPBACK = "127.0.0.1"
+SIGNATURE_VALUE = "signed"
+
+
+class ServiceFault(Enum):
+    """What goes wrong with one reply."""
+
+    NONE = auto()
+    #: Refuses, and says that it did not run the request.
+    SHED = auto()
+    #: Runs the request and fails.
+    ERROR = auto()
+    #: Runs the request and resets the connection.
+    RESET = auto()
+    #: Runs the request and never answers.
+    HANG = auto()
+    #: Breaks off in the middle of the body.
+    TRUNCATED = auto()
+    #: Gives no length and resets the connection midway.
+    UNFRAMED_RESET = auto()
+    #: Gives no length and ends properly.
+    UNFRAMED = auto()
+    #: Sends a second reply behind the first.
+    EXTRA = auto()
+    #: Answers with the reply to another request.
+    OTHER_REPLY = auto()
+    #: Sends a body that is not its own bytes.
+    ENCODED = auto()
+    #: Sends a success without a signature.
+    UNSIGNED = auto()
+    #: Sends bytes that are no reply.
+    GARBAGE = auto()
+    #: Is another server than the one that is expected.
+    OTHER_SERVER = auto()
+
+
+@frozen
+class SeenRequest:
+    """Request as it reached a server."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+
+@define(eq=False)
+class EmulatedService:
+    """Server that answers with the body ``answer of NAME``.
+
+    Parameters
+    ----------
+    server_id : str
+        Its identity.
+    work_s : float
+        Time of one run.
+    faults : deque of ServiceFault
+        Faults of the next replies; none when it is empty.
+    """
+
+    server_id: str
+    work_s: float = 0.0
+    faults: deque[ServiceFault] = field(factory=deque)
+    default_fault: ServiceFault = ServiceFault.NONE
+    seen: list[SeenRequest] = field(factory=list)
+    runs: list[str] = field(factory=list)
+    cancelled: list[str] = field(factory=list)
+    port: int = 0
+    _server: asyncio.Server | None = None
+
+    @property
+    def body(self) -> bytes:
+        """Body of its replies."""
+        return f"answer of {self.server_id}".encode()
+
+    async def start(self) -> None:
+        """Open the port."""
+        self._server = await asyncio.start_server(self._serve, _LOOPBACK, self.port)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def stop(self) -> None:
+        """Close the port."""
+        if self._server is not None:
+            self._server.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            request = await _read_request(reader)
+            self.seen.append(request)
+            await self._answer(request, reader, writer)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            # The caller has left, or a fault has closed the connection.
+            pass
+        finally:
+            writer.close()
+
+    async def _answer(
+        self,
+        request: SeenRequest,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        fault = self.faults.popleft() if self.faults else self.default_fault
+        request_id = request.headers.get(names.REQUEST_ID.lower(), "")
+        if fault is ServiceFault.SHED:
+            writer.write(_reply(503, request_id, b"", {names.NOT_RUN: "1"}))
+            return
+        if fault is ServiceFault.OTHER_SERVER:
+            writer.write(_reply(421, request_id, b"", {}))
+            return
+        self.runs.append(request_id)
+        if not await self._work(reader, request_id):
+            return
+        await self._write_reply(fault, request_id, writer)
+
+    async def _work(self, reader: asyncio.StreamReader, request_id: str) -> bool:
+        """Work, unless the caller closes its connection first."""
+        left = asyncio.create_task(reader.read(1))
+        done, _ = await asyncio.wait((left,), timeout=self.work_s)
+        if done:
+            self.cancelled.append(request_id)
+            return False
+        left.cancel()
+        return True
+
+    async def _write_reply(
+        self, fault: ServiceFault, request_id: str, writer: asyncio.StreamWriter
+    ) -> None:
+        signed = {names.SIGNATURE: SIGNATURE_VALUE}
+        whole = _reply(200, request_id, self.body, signed)
+        match fault:
+            case ServiceFault.ERROR:
+                writer.write(_reply(500, request_id, b"", signed))
+            case ServiceFault.RESET:
+                _reset(writer)
+            case ServiceFault.HANG:
+                await asyncio.sleep(3600)
+            case ServiceFault.TRUNCATED:
+                writer.write(whole[:-4])
+            case ServiceFault.UNFRAMED | ServiceFault.UNFRAMED_RESET:
+                await self._write_unframed(fault, request_id, writer)
+            case ServiceFault.EXTRA:
+                writer.write(whole + _reply(200, "other", b"other", signed))
+            case ServiceFault.OTHER_REPLY:
+                writer.write(_reply(200, "other", b"other", signed))
+            case ServiceFault.ENCODED:
+                headers = {**signed, "Content-Encoding": "gzip"}
+                writer.write(_reply(200, request_id, self.body, headers))
+            case ServiceFault.UNSIGNED:
+                writer.write(_reply(200, request_id, self.body, {}))
+            case ServiceFault.GARBAGE:
+                writer.write(b"\x00\x01 no reply\r\n\r\n")
+            case _:
+                writer.write(whole)
+        await writer.drain()
+
+    async def _write_unframed(
+        self, fault: ServiceFault, request_id: str, writer: asyncio.StreamWriter
+    ) -> None:
+        headers = {names.SIGNATURE: SIGNATURE_VALUE, names.REQUEST_ID: request_id}
+        head = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+        writer.write(f"HTTP/1.1 200 OK\r\n{head}\r\n".encode() + self.body)
+        await writer.drain()
+        await asyncio.sleep(0.02)
+        if fault is ServiceFault.UNFRAMED_RESET:
+            _reset(writer)
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    """Close the connection with a reset instead of an end."""
+    opened = writer.get_extra_info("socket")
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
+def _reply(status: int, request_id: str, body: bytes, headers: dict[str, str]) -> bytes:
+    fields = {
+        **headers,
+        names.REQUEST_ID: request_id,
+        names.SERVER_LOAD: "0,0,6",
+        "Content-Length": str(len(body)),
+    }
+    head = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
+    return f"HTTP/1.1 {status} Reason\r\n{head}\r\n".encode() + body
+
+
+async def _read_request(reader: asyncio.StreamReader) -> SeenRequest:
+    head = await reader.readuntil(b"\r\n\r\n")
+    line, *fields = head.decode("latin-1").rstrip("\r\n").split("\r\n")
+    method, target, _ = line.split(" ")
+    headers = {
+        name.strip().lower(): value.strip()
+        for name, _, value in (one.partition(":") for one in fields)
+    }
+    length = int(headers.get("content-length", "0"))
+    return SeenRequest(method, target, headers, await reader.readexactly(length))
--- /dev/null
+++ b/src/boragespring/platform/emulator/store.py
@@ -0,0 +1,250 @@
+"""The platform's store over HTTP, with its faults."""
+
+import asyncio
+import base64
+import time
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from enum import Enum, auto
+from typing import Any
+
+from aiohttp import web
+from attrs import define, field
+
+from boragespring.store.keyspace import Keyspace
+from boragespring.store.store import (
+    ConditionalWrite,
+    KeyValue,
+    LeaseExpiredError,
+    WatchCompactedError,
+)
+from boragespring.store.text import prefix_end
+
+__all__ = ["EmulatedStore", "StoreMode"]
+
+_LOOPBACK = "127.0.0.1"
+_FOREIGN_PREFIXES = ("op/", "servers/")
+_PAGE_ITEMS = 50
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+class StoreMode(Enum):
+    """How the store treats calls."""
+
+    SERVING = auto()
+    BUSY = auto()
+    REFUSING = auto()
+    RESETTING = auto()
+    SILENT = auto()
+
+
+@define(eq=False)
+class EmulatedStore:
+    """HTTP server of the store.
+
+    Parameters
+    ----------
+    keyspace : Keyspace
+        Its content.
+    mode : StoreMode
+        How it treats calls of all callers.
+    delay_s : float
+        Delay of each answer.
+    lost_writes : int
+        Next writes whose answer is lost.
+    late_write_s : float
+        Time after which a lost write takes effect; 0 for at once.
+    """
+
+    keyspace: Keyspace = field(factory=Keyspace)
+    mode: StoreMode = StoreMode.SERVING
+    delay_s: float = 0.0
+    lost_writes: int = 0
+    late_write_s: float = 0.0
+    calls: Counter[str] = field(factory=Counter)
+    port: int = 0
+    _runner: web.AppRunner | None = None
+    _late: set["asyncio.Task[None]"] = field(factory=set)
+
+    @property
+    def address(self) -> str:
+        """Address of the server."""
+        return f"{_LOOPBACK}:{self.port}"
+
+    async def start(self) -> None:
+        """Open the port."""
+        app = web.Application(middlewares=[self._treat])
+        app.router.add_get("/kv-key", self._get)
+        app.router.add_get("/kv-range", self._range)
+        app.router.add_get("/kv-watch", self._watch)
+        app.router.add_post("/kv-txn", self._write)
+        app.router.add_post("/kv-lease", self._grant)
+        app.router.add_post("/kv-keep/{lease}", self._renew)
+        app.router.add_delete("/kv-lease-end/{lease}", self._end)
+        self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.01)
+        await self._runner.setup()
+        await web.TCPSite(self._runner, _LOOPBACK, self.port).start()
+        self.port = int(self._runner.addresses[0][1])
+
+    async def stop(self) -> None:
+        """Close the port."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    def put(self, key: str, value: bytes, lease_id: int = 0) -> int:
+        """Write a key as its owner, past the callers' interface."""
+        current = self.keyspace.get(key).item
+        expected = current.mod_revision if current else 0
+        write = ConditionalWrite(key, value, expected, lease_id)
+        return self.keyspace.apply([write])[0].revision
+
+    def remove(self, key: str) -> None:
+        """Remove a key as its owner."""
+        current = self.keyspace.get(key).item
+        if current is not None:
+            self.keyspace.apply([ConditionalWrite(key, None, current.mod_revision)])
+
+    @web.middleware
+    async def _treat(
+        self, request: web.Request, handler: Handler
+    ) -> web.StreamResponse:
+        self.calls[request.path.split("/")[1]] += 1
+        if self.mode is StoreMode.BUSY:
+            return web.json_response({}, status=503)
+        if self.mode is StoreMode.REFUSING:
+            return web.json_response({}, status=429)
+        if self.mode is StoreMode.RESETTING:
+            return _reset(request)
+        if self.mode is StoreMode.SILENT:
+            await asyncio.sleep(3600)
+        await asyncio.sleep(self.delay_s)
+        return await handler(request)
+
+    async def _get(self, request: web.Request) -> web.Response:
+        result = self.keyspace.get(request.query["key"])
+        if result.item is None:
+            return web.json_response({"current_rev": result.revision}, status=404)
+        body = {**_row(result.item), "current_rev": result.revision}
+        return web.json_response(body)
+
+    async def _range(self, request: web.Request) -> web.Response:
+        prefix = request.query.get("path_prefix", "")
+        start = request.query.get("after_revision", "")
+        begin = start + "\0" if start else prefix
+        found = self.keyspace.range(begin, prefix_end(prefix) if prefix else "")
+        page = found.items[:_PAGE_ITEMS]
+        return web.json_response(
+            {
+                "items": [_row(item) for item in page],
+                "has_more": len(found.items) > len(page),
+                "current_rev": found.revision,
+            }
+        )
+
+    async def _watch(self, request: web.Request) -> web.Response:
+        prefix = request.query.get("path_prefix", "")
+        after = int(request.query["after_revision"])
+        deadline_s = time.monotonic() + int(request.query["wait_ms"]) / 1000
+        end = prefix_end(prefix) if prefix else ""
+        while True:
+            try:
+                batches = self.keyspace.events_from(prefix, end, after + 1)
+            except WatchCompactedError:
+                return web.json_response({}, status=410)
+            left_s = deadline_s - time.monotonic()
+            if batches or left_s <= 0:
+                break
+            await self.keyspace.wait_for_change(left_s)
+            if self.mode is not StoreMode.SERVING:
+                return _reset(request)
+        events = [
+            _row(event.item)
+            if event.item is not None
+            else {"key": event.key, "revision": event.revision, "removed": True}
+            for batch in batches
+            for event in batch.events
+        ]
+        return web.json_response(
+            {"events": events, "current_rev": self.keyspace.revision}
+        )
+
+    async def _write(self, request: web.Request) -> web.StreamResponse:
+        body = await request.json()
+        writes = _writes(body)
+        if any(write.key.startswith(_FOREIGN_PREFIXES) for write in writes):
+            return web.json_response({}, status=403)
+        if self.lost_writes:
+            self.lost_writes -= 1
+            task = asyncio.create_task(self._apply_late(writes))
+            self._late.add(task)
+            task.add_done_callback(self._late.discard)
+            await asyncio.sleep(0)
+            return _reset(request)
+        try:
+            results = self.keyspace.apply(writes)
+        except LeaseExpiredError:
+            return web.json_response({}, status=404)
+        if all(result.applied for result in results):
+            return web.json_response({"revision": results[0].revision})
+        current = [_row(result.current) for result in results if result.current]
+        revision = self.keyspace.revision
+        body = {"items": current, "current_rev": revision}
+        return web.json_response(body, status=412)
+
+    async def _apply_late(self, writes: list[ConditionalWrite]) -> None:
+        if self.late_write_s:
+            await asyncio.sleep(self.late_write_s)
+        self.keyspace.apply(writes)
+
+    async def _grant(self, request: web.Request) -> web.Response:
+        ttl_ms = int((await request.json())["ttl_ms"])
+        lease = self.keyspace.grant_lease(ttl_ms / 1000)
+        return web.json_response({"lease": lease, "ttl_ms": ttl_ms})
+
+    async def _renew(self, request: web.Request) -> web.Response:
+        try:
+            ttl_s = self.keyspace.renew_lease(int(request.match_info["lease"]))
+        except LeaseExpiredError:
+            return web.json_response({}, status=404)
+        return web.json_response({"ttl_ms": round(ttl_s * 1000)})
+
+    async def _end(self, request: web.Request) -> web.Response:
+        try:
+            self.keyspace.revoke_lease(int(request.match_info["lease"]))
+        except LeaseExpiredError:
+            return web.json_response({}, status=404)
+        return web.json_response({})
+
+
+def _reset(request: web.Request) -> web.Response:
+    if request.transport is not None:
+        request.transport.abort()
+    return web.Response()
+
+
+def _row(item: KeyValue) -> dict[str, Any]:
+    return {
+        "key": item.key,
+        "value": base64.b64encode(item.value).decode(),
+        "revision": item.mod_revision,
+        "created": item.create_revision,
+        "lease": item.lease_id,
+    }
+
+
+def _writes(body: dict[str, Any]) -> list[ConditionalWrite]:
+    puts = {row["key"]: row for row in body.get("puts", ())}
+    return [
+        ConditionalWrite(
+            key=row["key"],
+            value=(
+                base64.b64decode(puts[row["key"]]["value"])
+                if row["key"] in puts
+                else None
+            ),
+            expected_mod_revision=row["revision"],
+            lease_id=puts.get(row["key"], {}).get("lease", 0),
+        )
+        for row in body["expected_revision"]
+    ]
--- /dev/null
+++ b/src/boragespring/platform/tests/support.py
@@ -0,0 +1,99 @@
+"""What the tests of the platform share: a deployment and callers."""
+
+import asyncio
+import contextlib
+import json
+import logging
+
+from boragespring.bench.processes import free_ports
+from boragespring.decisions import DecisionLog
+from boragespring.platform.emulator import EmulatedPlatform
+
+HOST = "desk.example"
+KEY = "key-1"
+
+
+class Lines(logging.Handler):
+    """Keep the decisions that a gateway tells."""
+
+    def __init__(self):
+        super().__init__()
+        self.records = []
+
+    def emit(self, record):
+        self.records.append(record)
+
+    def of(self, event):
+        return [one for one in self.records if one.getMessage() == event]
+
+
+def recording_log():
+    lines = Lines()
+    logger = logging.Logger("test")
+    logger.addHandler(lines)
+    return DecisionLog(logger=logger), lines
+
+
+async def until(check, timeout_s=5.0):
+    async with asyncio.timeout(timeout_s):
+        while not check():
+            await asyncio.sleep(0.01)
+
+
+@contextlib.asynccontextmanager
+async def deployment(engines=0, services=0, gateways=1, **options):
+    platform = EmulatedPlatform(**options)
+    try:
+        await platform.start(engines, services)
+        for number in range(gateways):
+            log, lines = recording_log()
+            process = await platform.add_gateway(
+                f"gateway-{number}", free_ports(4), log
+            )
+            process.notes["lines"] = lines
+        await until(lambda: all(knows(one, platform) for one in platform.gateways))
+        if gateways > 1:
+            await until(lambda: all(told(one, "peer_up") for one in platform.gateways))
+        yield platform
+    finally:
+        await platform.stop()
+
+
+def told(process, event):
+    """Return the lines of an event that a gateway has written."""
+    return process.notes["lines"].of(event)
+
+
+def knows(process, platform):
+    joined = {record.server for record in told(process, "server_joined")}
+    is_ready = not process.gateway.why_not_ready()
+    return is_ready and joined >= {*platform.engines, *platform.services}
+
+
+def headers(request_id, key=KEY, remaining_ms=5000, **more):
+    own = {
+        "Host": HOST,
+        "Boragespring-Attempt-Id": request_id,
+        "Boragespring-Time-Remaining": str(remaining_ms),
+    }
+    if key:
+        own["Boragespring-Credential"] = key
+    return {**own, **more}
+
+
+def prompt(prompt_tokens, output_tokens):
+    return {
+        "Boragespring-Model": "m",
+        "Boragespring-Token-Counts": f"{prompt_tokens},{output_tokens}",
+        "Boragespring-Prompt-Prefix": f"aa:{prompt_tokens}",
+    }
+
+
+async def read_events(response):
+    """Return the numbers of all events; raise when the stream is cut."""
+    body = await response.read()
+    return [
+        json.loads(line.removeprefix(b"data: "))["n"]
+        for line in body.splitlines()
+        if line.startswith(b"data: ")
+    ]
--- /dev/null
+++ b/src/boragespring/platform/tests/test_forwarding_streams.py
@@ -0,0 +1,138 @@
+"""Streams: order, moves off leaving servers, crashes, callers that leave."""
+
+import asyncio
+
+import aiohttp
+import pytest
+
+from boragespring.platform.emulator import EngineSpec
+from boragespring.platform.tests.support import (
+    deployment,
+    headers,
+    prompt,
+    read_events,
+    until,
+)
+
+LONG = prompt(1000, 400)
+
+
+def draft(session, process, request_id, shape=LONG):
+    url = process.url + "/draft/x"
+    sent = headers(request_id, remaining_ms=20_000, **shape)
+    return session.post(url, headers=sent, data=b"prompt")
+
+
+async def test_all_events_in_order(session):
+    async with deployment(engines=1) as platform:
+        async with draft(session, platform.gateways[0], "s1") as response:
+            assert response.status == 200
+            assert await read_events(response) == list(range(1, 101))
+        engine = platform.engines["engine-0"]
+        assert engine.started == ["s1"]
+        assert engine.seen[0]["boragespring-request-urgency"] == "1"
+
+
+async def test_streams_go_on_elsewhere_when_their_server_leaves(session):
+    async with deployment(engines=2, gateways=2) as platform:
+        calls = [
+            asyncio.create_task(_read(session, platform.gateways[n % 2], f"s{n}"))
+            for n in range(6)
+        ]
+        await until(lambda: len(_all_started(platform)) == 6)
+        await asyncio.sleep(0.3)
+        leaving = max(platform.engines.values(), key=lambda one: len(one.runs))
+        assert leaving.runs
+        end = platform.reclaim(leaving.server_id, notice_s=0.8)
+        results = await asyncio.gather(*calls)
+        await end
+        assert all(events == list(range(1, 101)) for events, _ in results)
+        # A move is no second run, and no event waits long for it.
+        assert len(_all_started(platform)) == 6
+        assert max(pause_s for _, pause_s in results) < 0.18
+
+
+async def test_moves_wait_for_each_other_over_one_link(session):
+    # A copy of each run takes 0.2 s: together they need all of the notice.
+    spec = EngineSpec(copy_s_per_token=0.0002)
+    async with deployment(engines=2, gateways=2, engine_spec=spec) as platform:
+        calls = [
+            asyncio.create_task(_read(session, platform.gateways[n % 2], f"s{n}"))
+            for n in range(8)
+        ]
+        await until(lambda: len(_all_started(platform)) == 8)
+        await asyncio.sleep(0.3)
+        leaving = max(platform.engines.values(), key=lambda one: len(one.runs))
+        end = platform.reclaim(leaving.server_id, notice_s=1.5)
+        results = await asyncio.gather(*calls)
+        await end
+        assert all(events == list(range(1, 101)) for events, _ in results)
+
+
+async def test_a_target_without_room_is_passed_by(session):
+    async with deployment(engines=3) as platform:
+        call = asyncio.create_task(_read(session, platform.gateways[0], "s1"))
+        await until(lambda: _all_started(platform))
+        await asyncio.sleep(0.2)
+        leaving = next(one for one in platform.engines.values() if one.runs)
+        others = [one for one in platform.engines.values() if one is not leaving]
+        others[0].refuses_copies = True
+        end = platform.reclaim(leaving.server_id, notice_s=1.0)
+        events, _ = await call
+        await end
+        assert events == list(range(1, 101))
+        assert others[1].seen
+
+
+async def test_a_crash_cuts_the_stream_and_joins_nothing(session):
+    async with deployment(engines=2) as platform:
+        async with draft(session, platform.gateways[0], "s1") as response:
+            await until(lambda: _all_started(platform))
+            await asyncio.sleep(0.2)
+            engine = next(one for one in platform.engines.values() if one.runs)
+            await engine.crash()
+            with pytest.raises(aiohttp.ClientError):
+                await read_events(response)
+        assert len(_all_started(platform)) == 1
+
+
+async def test_a_full_server_refuses_and_another_one_runs(session):
+    spec = EngineSpec(slots=1)
+    async with deployment(engines=2, engine_spec=spec) as platform:
+        calls = [
+            asyncio.create_task(_read(session, platform.gateways[0], f"s{n}"))
+            for n in range(2)
+        ]
+        for events, _ in await asyncio.gather(*calls):
+            assert events == list(range(1, 101))
+        async with draft(session, platform.gateways[0], "huge", prompt(99_999, 9)) as r:
+            assert r.status == 503
+            assert float(r.headers["Retry-After"]) > 0
+
+
+async def test_the_run_ends_when_the_caller_leaves(session):
+    async with deployment(engines=1) as platform:
+        response = await draft(session, platform.gateways[0], "s1")
+        engine = platform.engines["engine-0"]
+        assert engine.runs
+        response.close()
+        await until(lambda: not engine.runs, timeout_s=0.5)
+
+
+def _all_started(platform):
+    return [run for engine in platform.engines.values() for run in engine.started]
+
+
+async def _read(session, process, request_id):
+    """Return the events of a stream and the longest pause between two."""
+    loop = asyncio.get_running_loop()
+    async with draft(session, process, request_id) as response:
+        assert response.status == 200
+        body, longest_s, last_s = b"", 0.0, None
+        async for chunk in response.content.iter_any():
+            if last_s is not None:
+                longest_s = max(longest_s, loop.time() - last_s)
+            last_s = loop.time()
+            body += chunk
+    ids = [int(one[4:]) for one in body.splitlines() if one.startswith(b"id: ")]
+    return ids, longest_s
--- /dev/null
+++ b/src/boragespring/platform/tests/test_forwarding_whole.py
@@ -0,0 +1,171 @@
+"""Requests with a whole reply: what servers get and what callers get."""
+
+import asyncio
+import time
+
+import pytest
+from yarl import URL
+
+from boragespring.platform.emulator import ServiceFault
+from boragespring.platform.tests.support import (
+    deployment,
+    headers,
+    told,
+    until,
+)
+
+NOT_RUN = {ServiceFault.SHED, ServiceFault.OTHER_SERVER}
+
+
+async def test_server_gets_the_request_and_only_its_own_headers(session):
+    async with deployment(services=1) as platform:
+        forged = {
+            "Boragespring-Tenant": "rival",
+            "Boragespring-Hold": "1",
+            "Boragespring-Pin-Duration": "9",
+            "Boragespring-Kv-Cache-Backup": "1.2.3.4:5",
+            "Kv-From": "1.2.3.4:5/x",
+            "Kv-Fetch": "1.2.3.4:5",
+            "Boragespring-Request-Urgency": "0",
+            "Connection": "X-Hop",
+            "X-Hop": "1",
+            "X-Kept": "yes",
+        }
+        url = platform.gateways[0].url + "/book/a%20b?q=%2F"
+        async with session.post(
+            URL(url, encoded=True), headers=headers("r1", **forged), data=b"body"
+        ) as response:
+            assert response.status == 200
+            assert await response.read() == b"answer of desk-0"
+            assert response.headers["Boragespring-Response-Signature"] == "signed"
+        (seen,) = platform.services["desk-0"].seen
+        assert (seen.method, seen.target, seen.body) == (
+            "POST",
+            "/book/a%20b?q=%2F",
+            b"body",
+        )
+        assert seen.headers["boragespring-tenant"] == "coop"
+        assert seen.headers["boragespring-expected-instance"] == "desk-0"
+        assert 0 < int(seen.headers["boragespring-time-remaining"]) <= 800
+        assert seen.headers["x-kept"] == "yes"
+        dropped = {name.lower() for name in forged} - {
+            "boragespring-tenant",
+            "x-kept",
+            "connection",
+        }
+        assert not dropped & seen.headers.keys()
+        assert "boragespring-credential" not in seen.headers
+
+
+@pytest.mark.parametrize(
+    ("path", "key", "status"),
+    [
+        ("/none/", "key-1", 404),
+        ("/book", "key-1", 404),
+        ("/book/x", "key-9", 401),
+        ("/book/x", "", 401),
+        ("/book/x", "key-1", 200),
+    ],
+)
+async def test_what_the_catalog_does_not_allow(session, path, key, status):
+    async with deployment(services=1) as platform:
+        url = platform.gateways[0].url + path
+        async with session.post(url, headers=headers("r1", key=key)) as response:
+            assert response.status == status
+        assert len(platform.services["desk-0"].runs) == (status == 200)
+
+
+@pytest.mark.parametrize("fault", ServiceFault)
+async def test_what_may_not_be_repeated_runs_at_most_once(session, fault):
+    async with deployment(services=3) as platform:
+        first = dict(platform.services)
+        for service in first.values():
+            service.faults.append(fault)
+        url = platform.gateways[0].url + "/book/x"
+        async with session.post(url, headers=headers("r1")) as response:
+            body = await response.read()
+            status = response.status
+        runs = [run for service in first.values() for run in service.runs]
+        assert len(runs) <= 1
+        if fault in NOT_RUN:
+            assert not runs
+            assert status == 503
+            assert float(response.headers["Retry-After"]) > 0
+        elif fault in (ServiceFault.NONE, ServiceFault.EXTRA, ServiceFault.UNFRAMED):
+            assert (status, body[:9]) == (200, b"answer of")
+        elif fault is ServiceFault.ERROR:
+            assert status == 500
+            assert "Boragespring-Response-Signature" in response.headers
+        else:
+            # The request may have run, so that no answer may say it did not.
+            assert status in (502, 504)
+            assert "Boragespring-Response-Signature" not in response.headers
+
+
+@pytest.mark.parametrize("fault", ServiceFault)
+async def test_an_idempotent_request_is_sent_again(session, fault):
+    async with deployment(services=2) as platform:
+        platform.services["desk-0"].default_fault = fault
+        url = platform.gateways[0].url + "/look/x"
+        for number in range(4):
+            async with session.get(url, headers=headers(f"r{number}")) as response:
+                assert response.status == 200
+                assert (await response.read())[:9] == b"answer of"
+
+
+async def test_refused_at_once_while_no_server_is_known(session):
+    async with deployment(services=0) as platform:
+        url = platform.gateways[0].url + "/book/x"
+        begun_s = time.monotonic()
+        async with session.post(url, headers=headers("r1")) as response:
+            assert response.status == 503
+            assert float(response.headers["Retry-After"]) > 0
+        assert time.monotonic() - begun_s < 0.3
+
+
+async def test_answer_at_the_timeout_of_the_route_and_work_ends(session):
+    async with deployment(services=1) as platform:
+        service = platform.services["desk-0"]
+        service.work_s = 30.0
+        url = platform.gateways[0].url + "/book/x"
+        begun_s = time.monotonic()
+        async with session.post(url, headers=headers("r1")) as response:
+            assert response.status == 504
+        assert 0.75 < time.monotonic() - begun_s < 1.1
+        await until(lambda: service.cancelled == ["r1"])
+
+
+async def test_work_ends_when_the_caller_leaves(session):
+    async with deployment(services=1) as platform:
+        service = platform.services["desk-0"]
+        service.work_s = 30.0
+        url = platform.gateways[0].url + "/look/x"
+        call = asyncio.create_task(session.get(url, headers=headers("r1")))
+        await until(lambda: service.runs)
+        call.cancel()
+        await until(lambda: service.cancelled, timeout_s=0.5)
+
+
+async def test_a_server_that_leaves_gets_nothing_new(session):
+    async with deployment(services=2) as platform:
+        process = platform.gateways[0]
+        platform.register(
+            "desk-0", "desk", platform.services["desk-0"].port, 6, state="draining"
+        )
+        await until(lambda: told(process, "server_leaving"))
+        for number in range(6):
+            url = process.url + "/book/x"
+            async with session.post(url, headers=headers(f"r{number}")) as response:
+                assert response.status == 200
+        assert not platform.services["desk-0"].runs
+
+
+async def test_an_address_that_is_used_again_by_another_service(session):
+    async with deployment(services=2) as platform:
+        # A server that is not the expected one refuses; the next one answers.
+        platform.services["desk-0"].default_fault = ServiceFault.OTHER_SERVER
+        for number in range(4):
+            url = platform.gateways[0].url + "/book/x"
+            async with session.post(url, headers=headers(f"r{number}")) as response:
+                assert response.status == 200
+        assert not platform.services["desk-0"].runs
