--- a/src/boragespring/composition/gateway.py
+++ b/src/boragespring/composition/gateway.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable, Sequence
 
 import xxhash
+from aiohttp import web
 from attrs import evolve, frozen
 from prometheus_client import CollectorRegistry
 
@@ -27,10 +28,12 @@
 )
 from boragespring.forwarding.inspection import Inspection, InspectionSettings
 from boragespring.gateway import Gateway
+from boragespring.http.admin import AdminServer, admin_routes
 from boragespring.links import Dispatcher, Identity, Link, LinkContext, LinkServer
 from boragespring.links.messages import PROTOCOL_VERSION
 from boragespring.membership.entry_peers import EntryPeers
 from boragespring.metrics import LinkMetrics
+from boragespring.metrics.gateway import GatewayMetrics
 from boragespring.platform.followers import CatalogFeed, FleetFeed, StoreContactLog
 from boragespring.platform.front_door import FrontDoor
 from boragespring.platform.names import CATALOG_KEY, REGISTRATION_PREFIX
@@ -70,6 +73,7 @@
     gate = JobGate(holder, _gate_settings(settings.bounds))
     peers = _build_peers(settings, registry, log)
     loads = LoadSharing(fleet, peers.dispatcher, peers.links, LoadSharingSettings())
+    metrics = GatewayMetrics(registry)
     context = ForwardingContext(
         fleet=fleet,
         calls=calls,
@@ -77,6 +81,7 @@
         log=log,
         zone=settings.availability_zone,
         placement=PlacementSettings(),
+        metrics=metrics,
         tell_loads=loads.notify,
     )
     evacuations = EvacuationSharing(peers.dispatcher, peers.links)
@@ -133,10 +138,64 @@
         settings=settings,
         log=log,
     )
-    gateway.listeners.append(ReadinessServer(settings.readiness, gateway.why_not_ready))
+    _add_gauges(metrics, holder, fleet, follower, peers)
+    gateway.listeners += [
+        ReadinessServer(settings.readiness, gateway.why_not_ready),
+        AdminServer(settings.metrics, _admin_app(registry, gateway, fleet, holder)),
+    ]
     return gateway
 
 
+def _add_gauges(
+    metrics: GatewayMetrics,
+    holder: CatalogHolder,
+    fleet: Fleet,
+    follower: PrefixFollower,
+    peers: "_Peers",
+) -> None:
+    metrics.add_gauge(
+        "catalog_version",
+        "Version of the catalog in force.",
+        lambda: float(holder.catalog.version if holder.catalog else 0),
+    )
+    metrics.add_gauge(
+        "store_copy_age_seconds",
+        "Time since all that the store holds was known here.",
+        lambda: time.monotonic() - follower.complete_at_s,
+    )
+    metrics.add_gauge(
+        "servers",
+        "Backend servers that take requests.",
+        lambda: float(sum(not server.is_leaving for server in fleet.servers)),
+    )
+    metrics.add_gauge(
+        "peers", "Gateways with an open link.", lambda: float(len(peers.links()))
+    )
+
+
+def _admin_app(
+    registry: CollectorRegistry, gateway: Gateway, fleet: Fleet, holder: CatalogHolder
+) -> web.Application:
+    def status() -> dict[str, object]:
+        return {
+            "catalog_version": holder.catalog.version if holder.catalog else 0,
+            "servers": [
+                {
+                    "server": server.server_id,
+                    "service": server.registration.service,
+                    "is_leaving": server.is_leaving,
+                    "runs": len(server.runs),
+                    "runs_of_peers": server.open_runs - len(server.runs),
+                }
+                for server in fleet.servers
+            ],
+        }
+
+    app = web.Application()
+    app.add_routes(admin_routes(registry, gateway.why_not_ready, status))
+    return app
+
+
 @frozen
 class _Peers:
     """Links to the other gateways."""
--- a/src/boragespring/forwarding/context.py
+++ b/src/boragespring/forwarding/context.py
@@ -9,6 +9,7 @@
 from boragespring.forwarding.messages import BackendCalls
 from boragespring.forwarding.placement import PlacementSettings
 from boragespring.forwarding.retry_budget import RetryBudget
+from boragespring.metrics.gateway import GatewayMetrics
 
 __all__ = ["ForwardingContext"]
 
@@ -35,6 +36,8 @@
         Availability zone of this gateway.
     placement : PlacementSettings
         Weights of placing.
+    metrics : GatewayMetrics
+        Counters and histograms.
     tell_loads : callable
         Called when a run was placed, so that other gateways learn of it.
     """
@@ -45,4 +48,5 @@
     log: DecisionLog
     zone: str
     placement: PlacementSettings
+    metrics: GatewayMetrics
     tell_loads: Callable[[], None] = _tell_nobody
--- a/src/boragespring/forwarding/forwarder.py
+++ b/src/boragespring/forwarding/forwarder.py
@@ -49,7 +49,7 @@
         if isinstance(reply, Refusal):
             await self._refuse(request, reply, caller, job)
             return
-        self._tell_end(job, f"status {reply.head.status}", status=reply.head.status)
+        self._tell_end(job, f"status {reply.head.status}", server=reply.server_id)
         await caller.send_whole(reply.head, reply.body)
 
     async def _serve_stream(self, job: Job, caller: CallerReply) -> None:
@@ -61,7 +61,9 @@
             job,
             outcome.end.name.lower(),
             reason=outcome.reason,
+            server=outcome.server_id,
             events=outcome.events,
+            longest_pause_s=outcome.longest_pause_s,
             moves=outcome.moves,
         )
 
@@ -81,11 +83,19 @@
             route=job.route.name if job else "",
             held_s=round(time.monotonic() - request.arrived_at_s, 3),
         )
+        self._count(request, job, refusal.reason.value)
         await caller.refuse(refusal)
 
+    def _count(self, request: CallerRequest, job: Job | None, outcome: str) -> None:
+        workspace = job.workspace if job else ""
+        kind = job.route.kind.value if job else "none"
+        took_s = time.monotonic() - request.arrived_at_s
+        self.context.metrics.ended(workspace, kind, outcome, took_s)
+
     def _tell_end(self, job: Job, outcome: str, **inputs: object) -> None:
         is_failure = outcome == "cut" or outcome.startswith("status 5")
         tell = self.context.log.failure if is_failure else self.context.log.request
+        self._count(job.request, job, outcome)
         tell(
             "answered",
             job.request_id,
--- a/src/boragespring/forwarding/jobs.py
+++ b/src/boragespring/forwarding/jobs.py
@@ -6,7 +6,13 @@
 
 from attrs import frozen
 
-from boragespring.catalog import Catalog, CatalogHolder, Route, Service
+from boragespring.catalog import (
+    Catalog,
+    CatalogHolder,
+    RequestKind,
+    Route,
+    Service,
+)
 from boragespring.forwarding.messages import (
     Attempt,
     CallerRequest,
@@ -37,12 +43,18 @@
         When a repeat reaches another gateway or a newer catalog.
     start_retry_after_s : float
         When to come back to a gateway that has no catalog yet.
+    leaving_retry_after_s : float
+        When to come back after a gateway that stops; any other one will do.
+    token_interval_s : float
+        Usual time between two tokens of a generation.
     """
 
     catalog_age_max_s: float = float("inf")
     unsure_age_s: float = 1.5
     retry_after_s: float = 0.2
     start_retry_after_s: float = 2.5
+    leaving_retry_after_s: float = 0.05
+    token_interval_s: float = 0.009
 
 
 @frozen
@@ -117,6 +129,8 @@
         self._settings = settings
         self._chance = chance or random.Random()
         self._clock = clock
+        #: Monotonic time at which this gateway ends; None while it serves.
+        self.stops_at_s: float | None = None
 
     @property
     def is_catalog_usable(self) -> bool:
@@ -159,6 +173,9 @@
         service = catalog.services.get(name)
         if service is None:
             return self._refuse_for_now(RefusalReason.NO_SERVER)
+        if self._outlives_gateway(request, route):
+            retry_after_s = self._settings.leaving_retry_after_s
+            return Refusal(RefusalReason.LEAVING, True, retry_after_s)
         rank = route.priority if priority is None else priority
         deadline_s = min(request.deadline_s, request.arrived_at_s + route.timeout_s)
         if deadline_s <= self._clock():
@@ -173,6 +190,14 @@
             catalog_version=catalog.version,
         )
 
+    def _outlives_gateway(self, request: CallerRequest, route: Route) -> bool:
+        """Return whether a stream would be cut by the stop of this gateway."""
+        if self.stops_at_s is None or route.kind is not RequestKind.STREAMING:
+            return False
+        output_tokens = request.prompt.output_tokens if request.prompt else 0.0
+        takes_s = output_tokens * self._settings.token_interval_s
+        return self._clock() + takes_s > self.stops_at_s
+
     def _refuse_unknown(self, reason: RefusalReason) -> Refusal:
         if self._holder.age_s > self._settings.unsure_age_s:
             return self._refuse_for_now(RefusalReason.STALE_CATALOG)
--- a/src/boragespring/forwarding/relocation.py
+++ b/src/boragespring/forwarding/relocation.py
@@ -281,6 +281,7 @@
             else:
                 await asyncio.sleep(self._settings.turn_pause_s)
             return False
+        self._context.metrics.moved("moved")
         self._context.log.request(
             "moved",
             run_id,
@@ -299,6 +300,7 @@
             # The run has ended meanwhile, or has been preempted and waits.
             return
         stream.refused_by.add(target.server_id)
+        self._context.metrics.moved("failed")
         self._context.log.failure(
             "move_failed",
             stream.job.request_id,
--- a/src/boragespring/forwarding/running.py
+++ b/src/boragespring/forwarding/running.py
@@ -1,6 +1,7 @@
 """A stream on its way, as the carrier and the mover of its run share it."""
 
 import asyncio
+import time
 
 from attrs import define, field, frozen
 
@@ -41,6 +42,9 @@
     moves: int = 0
     handover: asyncio.Future[Handover | None] | None = None
     refused_by: set[str] = field(factory=set)
+    first_event_at_s: float = float("inf")
+    longest_pause_s: float = 0.0
+    _last_event_at_s: float = float("inf")
     load: RunLoad = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -75,9 +79,18 @@
         if event_id:
             self.last_event_id = event_id
         self.events += 1
+        self._note_time(time.monotonic())
         self.load.produced_tokens += self.tokens_per_event
         return True
 
+    def _note_time(self, now_s: float) -> None:
+        if self.events == 1:
+            self.first_event_at_s = now_s
+        else:
+            pause_s = now_s - self._last_event_at_s
+            self.longest_pause_s = max(self.longest_pause_s, pause_s)
+        self._last_event_at_s = now_s
+
     def moved_to(self, target: BackendServer) -> None:
         """Note that the run goes on elsewhere."""
         self.server = target
--- a/src/boragespring/forwarding/streamed.py
+++ b/src/boragespring/forwarding/streamed.py
@@ -73,8 +73,10 @@
 
     end: StreamEnd
     reason: str
-    events: int
-    moves: int
+    server_id: str
+    events: int = 0
+    moves: int = 0
+    longest_pause_s: float = 0.0
 
 
 @define
@@ -134,6 +136,7 @@
             opened = await self._send(job, server)
             if isinstance(opened, _Opened | Refusal):
                 return opened
+            self._context.metrics.repeated("not_run")
             self._context.log.request(
                 "try_again",
                 job.request_id,
@@ -215,7 +218,8 @@
             opened.reply.close()
             self._context.fleet.run_ended(opened.server, job.request_id)
         await caller.send_whole(opened.reply.head, bytes(body))
-        return StreamOutcome(StreamEnd.COMPLETE, f"{opened.reply.head.status}", 0, 0)
+        reason = f"status {opened.reply.head.status}"
+        return StreamOutcome(StreamEnd.COMPLETE, reason, opened.server.server_id)
 
     async def _carry(
         self, job: Job, opened: _Opened, caller: CallerReply
@@ -238,12 +242,26 @@
             reason = str(error)
         finally:
             self._relocations.remove(stream)
+            self._context.metrics.streamed(
+                job.workspace,
+                job.route.kind.value,
+                stream.first_event_at_s - job.request.arrived_at_s,
+                stream.longest_pause_s,
+            )
             carrier.close()
+        end = StreamEnd.CUT if reason else StreamEnd.COMPLETE
         if reason:
             caller.abort()
-            return StreamOutcome(StreamEnd.CUT, reason, stream.events, stream.moves)
-        await caller.finish()
-        return StreamOutcome(StreamEnd.COMPLETE, "", stream.events, stream.moves)
+        else:
+            await caller.finish()
+        return StreamOutcome(
+            end,
+            reason,
+            stream.server.server_id,
+            stream.events,
+            stream.moves,
+            round(stream.longest_pause_s, 3),
+        )
 
     def _refuse(self, reason: RefusalReason) -> Refusal:
         return Refusal(reason, True, self._settings.retry_after_s)
--- a/src/boragespring/forwarding/whole.py
+++ b/src/boragespring/forwarding/whole.py
@@ -59,6 +59,7 @@
 
     head: ReplyHead
     body: bytes
+    server_id: str
 
 
 @frozen
@@ -114,6 +115,7 @@
                 return outcome
             if isinstance(outcome, WholeReply):
                 progress.failed_reply = outcome
+            self._context.metrics.repeated(_kind_of(outcome))
             self._context.log.request(
                 "try_again",
                 job.request_id,
@@ -167,13 +169,15 @@
         except ReplyLostError as error:
             return _Lost(str(error))
         try:
-            return await self._read(job, reply)
+            return await self._read(job, server, reply)
         except ReplyBrokenError as error:
             return _Lost(str(error))
         finally:
             reply.close()
 
-    async def _read(self, job: Job, reply: ServerReply) -> WholeReply | _NotRun | _Lost:
+    async def _read(
+        self, job: Job, server: BackendServer, reply: ServerReply
+    ) -> WholeReply | _NotRun | _Lost:
         head = reply.head
         if head.was_not_run or head.is_other_server:
             return _NotRun(f"status {head.status}")
@@ -188,7 +192,7 @@
             body += chunk
             if len(body) > self._settings.body_max_bytes:
                 return _Lost("reply too large to hold")
-        return WholeReply(head, bytes(body))
+        return WholeReply(head, bytes(body), server.server_id)
 
     def _patience_end_s(self, job: Job, progress: _Progress, now_s: float) -> float:
         left_s = job.deadline_s - now_s
@@ -220,6 +224,12 @@
         return Refusal(RefusalReason.TIMED_OUT, was_not_run)
 
 
+def _kind_of(outcome: WholeReply | _NotRun | _Lost) -> str:
+    if isinstance(outcome, WholeReply):
+        return "server_failure"
+    return "not_run" if isinstance(outcome, _NotRun) else "lost"
+
+
 def _describe(outcome: WholeReply | _NotRun | _Lost) -> str:
     if isinstance(outcome, WholeReply):
         return f"status {outcome.head.status}"
--- a/src/boragespring/gateway/daemon.py
+++ b/src/boragespring/gateway/daemon.py
@@ -120,6 +120,8 @@
         begun_s = time.monotonic()
         self._is_leaving = True
         self.callers.is_leaving = True
+        self.gate.stops_at_s = begun_s + self.settings.bounds.stop_grace_s
+        self.gate.stops_at_s -= CLOSE_DOWN_S
         self.log.lifecycle("stopping", grace_s=self.settings.bounds.stop_grace_s)
         async with asyncio.timeout(self.settings.bounds.stop_grace_s - CLOSE_DOWN_S):
             await asyncio.sleep(BALANCER_DELAY_S)
--- /dev/null
+++ b/src/boragespring/metrics/gateway.py
@@ -0,0 +1,88 @@
+"""Metrics of a gateway by workspace, kind of request and outcome."""
+
+from collections.abc import Callable
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+
+from boragespring.metrics.labels import LabelBound
+
+__all__ = ["GatewayMetrics"]
+
+WORKSPACES_MAX = 500
+TIME_BUCKETS_S = (0.01, 0.03, 0.1, 0.2, 0.36, 0.7, 1.5, 3, 6, 15, 40)
+PAUSE_BUCKETS_S = (0.02, 0.035, 0.06, 0.1, 0.18, 0.3, 0.6, 1.5, 4)
+
+
+class GatewayMetrics:
+    """Counters and histograms of requests, streams and moves."""
+
+    def __init__(self, registry: CollectorRegistry) -> None:
+        self._registry = registry
+        self._workspaces = LabelBound(WORKSPACES_MAX)
+        names = ("workspace", "kind")
+        self._requests = Counter(
+            "boragespring_gateway_requests",
+            "Requests by final outcome.",
+            (*names, "outcome"),
+            registry=registry,
+        )
+        self._answer_s = Histogram(
+            "boragespring_gateway_answer_seconds",
+            "Time from arrival to the end of the answer.",
+            names,
+            buckets=TIME_BUCKETS_S,
+            registry=registry,
+        )
+        self._first_event_s = Histogram(
+            "boragespring_gateway_first_event_seconds",
+            "Time from arrival to the first event of a stream.",
+            names,
+            buckets=TIME_BUCKETS_S,
+            registry=registry,
+        )
+        self._pause_s = Histogram(
+            "boragespring_gateway_longest_pause_seconds",
+            "Longest pause between two events of a stream.",
+            names,
+            buckets=PAUSE_BUCKETS_S,
+            registry=registry,
+        )
+        self._repeats = Counter(
+            "boragespring_gateway_repeats",
+            "Requests sent to a further server, by what the one before did.",
+            ("outcome",),
+            registry=registry,
+        )
+        self._moves = Counter(
+            "boragespring_gateway_moves",
+            "Runs moved off leaving servers, by outcome.",
+            ("outcome",),
+            registry=registry,
+        )
+
+    def ended(self, workspace: str, kind: str, outcome: str, took_s: float) -> None:
+        """Count a request that has its final answer."""
+        labels = (self._workspaces.fold(workspace), kind)
+        self._requests.labels(*labels, outcome).inc()
+        self._answer_s.labels(*labels).observe(took_s)
+
+    def streamed(
+        self, workspace: str, kind: str, first_event_s: float, longest_pause_s: float
+    ) -> None:
+        """Record the times of a stream."""
+        labels = (self._workspaces.fold(workspace), kind)
+        self._first_event_s.labels(*labels).observe(first_event_s)
+        self._pause_s.labels(*labels).observe(longest_pause_s)
+
+    def repeated(self, outcome: str) -> None:
+        """Count a request that is sent to a further server."""
+        self._repeats.labels(outcome).inc()
+
+    def moved(self, outcome: str) -> None:
+        """Count a move of a run, or the failure of one."""
+        self._moves.labels(outcome).inc()
+
+    def add_gauge(self, name: str, text: str, read: Callable[[], float]) -> None:
+        """Register a gauge that is read when the metrics are."""
+        gauge = Gauge(f"boragespring_gateway_{name}", text, registry=self._registry)
+        gauge.set_function(read)
--- /dev/null
+++ b/src/boragespring/platform/tests/test_outages.py
@@ -0,0 +1,237 @@
+"""The store away, slow or forgetful; gateways that start, stop and reload."""
+
+import asyncio
+import time
+
+import aiohttp
+import pytest
+
+from boragespring.bench.processes import free_ports
+from boragespring.platform import names
+from boragespring.platform.emulator import StoreMode
+from boragespring.platform.tests.support import (
+    deployment,
+    headers,
+    prompt,
+    read_events,
+    recording_log,
+    told,
+    until,
+)
+
+AWAY = (StoreMode.BUSY, StoreMode.REFUSING, StoreMode.RESETTING, StoreMode.SILENT)
+
+
+async def status_of(session, process, path="/book/x", key="key-1", request_id="r"):
+    async with session.post(
+        process.url + path, headers=headers(request_id, key=key)
+    ) as response:
+        await response.read()
+        return response.status
+
+
+@pytest.mark.parametrize("mode", AWAY)
+async def test_requests_are_served_while_the_store_is_away(session, mode):
+    async with deployment(services=1) as platform:
+        process = platform.gateways[0]
+        platform.store.mode = mode
+        platform.store.keyspace.wake()
+        await until(lambda: told(process, "store_lost"))
+        assert await status_of(session, process) == 200
+        # An unknown key may be one of a newer catalog: not run, no 401.
+        await asyncio.sleep(2.1)
+        assert await status_of(session, process, key="key-9") == 503
+        assert await status_of(session, process, path="/none/") == 503
+        platform.store.mode = StoreMode.SERVING
+        await until(lambda: told(process, "store_regained"))
+        assert await status_of(session, process, key="key-9") == 401
+
+
+async def test_a_change_is_in_force_at_once(session):
+    async with deployment(services=1) as platform:
+        process = platform.gateways[0]
+        platform.keys["coop"] = ["key-2"]
+        platform.configure()
+        await until(lambda: len(told(process, "catalog")) == 2, timeout_s=0.5)
+        assert await status_of(session, process, key="key-1") == 401
+        assert await status_of(session, process, key="key-2") == 200
+
+
+async def test_an_older_catalog_never_comes_back(session):
+    async with deployment(services=1) as platform:
+        process = platform.gateways[0]
+        old = platform.store.keyspace.get(names.CATALOG_KEY).item.value
+        platform.keys["coop"] = ["key-2"]
+        platform.configure()
+        await until(lambda: len(told(process, "catalog")) == 2)
+        platform.store.put(names.CATALOG_KEY, old)
+        await asyncio.sleep(0.2)
+        assert await status_of(session, process, key="key-1") == 401
+
+
+async def test_a_catalog_that_cannot_be_read_changes_nothing(session):
+    async with deployment(services=1) as platform:
+        process = platform.gateways[0]
+        platform.store.put(names.CATALOG_KEY, b"{no json")
+        platform.store.put(names.REGISTRATION_PREFIX + "forged", b'{"service": 5}')
+        platform.store.put(names.REGISTRATION_PREFIX + "desk-9", b"\xff")
+        await until(lambda: told(process, "catalog_unreadable"))
+        await until(lambda: len(told(process, "registration_unreadable")) == 2)
+        assert await status_of(session, process) == 200
+
+
+async def test_the_history_is_gone_while_a_watch_waits(session):
+    async with deployment(services=2) as platform:
+        process = platform.gateways[0]
+        platform.store.mode = StoreMode.BUSY
+        platform.store.keyspace.wake()
+        await until(lambda: told(process, "store_lost"))
+        platform.store.remove(names.REGISTRATION_PREFIX + "desk-0")
+        platform.store.keyspace.compact(platform.store.keyspace.revision)
+        platform.store.mode = StoreMode.SERVING
+        # The entry may have lapsed in the outage: two seconds to come back.
+        await until(lambda: told(process, "server_leaving"), timeout_s=4)
+        for number in range(4):
+            assert await status_of(session, process, request_id=f"r{number}") == 200
+        assert not platform.services["desk-0"].runs
+
+
+async def test_a_gateway_turned_away_learns_from_another_one(session):
+    async with deployment(services=1) as platform:
+        # This one's store never answers; it knows the first gateway as a seed.
+        silent = platform.__class__().store
+        await silent.start()
+        silent.mode = StoreMode.SILENT
+        log, lines = recording_log()
+        process = await platform.add_gateway(
+            "cut-off",
+            free_ports(4),
+            log,
+            seeds=[platform.gateways[0].settings.peers.port],
+            store_url=f"http://{silent.address}",
+        )
+        process.notes["lines"] = lines
+        await until(lambda: told(process, "copy_taken"))
+        assert await status_of(session, process) == 200
+        platform.keys["coop"] = ["key-2"]
+        platform.configure()
+        await until(lambda: len(told(process, "catalog")) == 2, timeout_s=7.0)
+        assert await status_of(session, process, key="key-1") == 401
+        await silent.stop()
+
+
+async def test_a_start_without_store_and_peers_refuses_as_not_run(session):
+    async with deployment(services=1, gateways=0) as platform:
+        platform.store.mode = StoreMode.BUSY
+        process = await platform.add_gateway("alone", free_ports(4))
+        assert process.gateway.why_not_ready()
+        async with session.post(
+            process.url + "/book/x", headers=headers("r1")
+        ) as response:
+            assert response.status == 503
+            assert float(response.headers["Retry-After"]) > 0
+        platform.store.mode = StoreMode.SERVING
+        await until(lambda: not process.gateway.why_not_ready())
+
+
+async def test_leaving_servers_are_found_without_the_store(session):
+    async with deployment(engines=2, gateways=2) as platform:
+        platform.store.mode = StoreMode.SILENT
+        platform.store.keyspace.wake()
+        sent = headers("s1", remaining_ms=20_000, **prompt(1000, 1200))
+        url = platform.gateways[0].url + "/draft/x"
+        async with session.post(url, headers=sent) as response:
+            await until(lambda: told(platform.gateways[0], "inspection"))
+            leaving = next(one for one in platform.engines.values() if one.runs)
+            leaving.leaves_at_s = time.monotonic() + 1.0
+            await asyncio.sleep(1.0)
+            assert not leaving.runs
+            await leaving.crash()
+            assert await read_events(response) == list(range(1, 301))
+
+
+async def test_a_stop_refuses_what_it_would_cut_and_ends_the_rest(session):
+    async with deployment(engines=1, services=1) as platform:
+        process = platform.gateways[0]
+        short = headers("short", remaining_ms=20_000, **prompt(10, 100))
+        url = process.url + "/draft/x"
+        async with session.post(url, headers=short) as running:
+            drain = asyncio.create_task(process.gateway.drain())
+            await until(process.gateway.why_not_ready)
+            long = headers("long", remaining_ms=20_000, **prompt(10, 9000))
+            async with session.post(url, headers=long) as refused:
+                assert refused.status == 503
+                assert 0 < float(refused.headers["Retry-After"]) < 0.2
+                assert refused.headers["Connection"] == "close"
+            assert await status_of(session, process) == 200
+            assert await read_events(running) == list(range(1, 26))
+        await drain
+        assert platform.engines["engine-0"].started == ["short"]
+
+
+async def test_many_starts_and_stops_leave_no_presence(session):
+    async with deployment(services=1, gateways=2) as platform:
+        first, second = platform.gateways
+        await second.gateway.stop()
+        platform.gateways.remove(second)
+        await until(lambda: told(first, "peer_down"))
+        assert await status_of(session, first) == 200
+        found = platform.store.keyspace.range("boragespring/", "boragespring0")
+        assert [item.key for item in found.items] == ["boragespring/gateways/gateway-0"]
+
+
+async def test_bytes_that_are_no_request(session):
+    async with deployment(services=1) as platform:
+        process = platform.gateways[0]
+        callers = process.settings.callers
+        for smuggled in (
+            b"POST /book/x HTTP/1.1\r\nHost: desk.example\r\nContent-Length: 5\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /look/x HTTP/1.1\r\n\r\n",
+            b"\x00\x01\x02\r\n\r\n",
+            b"POST /book/x HTTP/1.1\r\nHost: a\r\nContent-Length: -1\r\n\r\n",
+        ):
+            reader, writer = await asyncio.open_connection(callers.host, callers.port)
+            writer.write(smuggled)
+            reply = await asyncio.wait_for(reader.read(), 2.0)
+            assert reply.split(b" ")[1] == b"400"
+            writer.close()
+        assert not platform.services["desk-0"].seen
+
+
+async def test_a_body_over_the_limit_and_a_request_cut_midway(session):
+    async with deployment(services=1) as platform:
+        process = platform.gateways[0]
+        sent = headers("big")
+        async with session.post(
+            process.url + "/book/x", headers=sent, data=b"x" * 70_000
+        ) as response:
+            assert response.status == 413
+        callers = process.settings.callers
+        _, writer = await asyncio.open_connection(callers.host, callers.port)
+        head = "".join(f"{name}: {value}\r\n" for name, value in headers("cut").items())
+        writer.write(
+            f"POST /book/x HTTP/1.1\r\n{head}Content-Length: 9\r\n\r\n12".encode()
+        )
+        await writer.drain()
+        writer.close()
+        await asyncio.sleep(0.1)
+        assert not platform.services["desk-0"].seen
+
+
+async def test_metrics_and_status(session):
+    async with deployment(services=1) as platform:
+        process = platform.gateways[0]
+        await status_of(session, process)
+        address = process.settings.metrics
+        base = f"http://{address.host}:{address.port}"
+        async with (
+            aiohttp.ClientSession() as plain,
+            plain.get(base + "/metrics") as got,
+        ):
+            text = await got.text()
+        assert (
+            'boragespring_gateway_requests_total{kind="non_idempotent",'
+            'outcome="status 200",workspace="coop"} 1.0' in text
+        )
+        assert "boragespring_gateway_answer_seconds_bucket" in text
+        assert "boragespring_gateway_store_copy_age_seconds" in text
--- a/src/boragespring/sharing/copies.py
+++ b/src/boragespring/sharing/copies.py
@@ -21,8 +21,11 @@
 
     Parameters
     ----------
-    own_age_max_s : float
-        Age of the own copy from which those of others are preferred.
+    age_max_s : float
+        Age of the own copy from which those of others are preferred; more
+        than a watch waits.
+    lost_age_max_s : float
+        The same while the store does not answer this gateway.
     gain_min_s : float
         By how much another copy must be more recent.
     look_interval_s : float
@@ -31,7 +34,8 @@
         Longest wait for a copy.
     """
 
-    own_age_max_s: float = 0.8
+    age_max_s: float = 2.4
+    lost_age_max_s: float = 0.8
     gain_min_s: float = 0.3
     look_interval_s: float = 0.1
     call_timeout_s: float = 0.5
@@ -88,16 +92,21 @@
                 await self._take_over(offer)
 
     def _better_offer(self) -> _Offer | None:
-        own_at_s = self._follower.complete_at_s
-        if not self._follower.is_store_lost and self._follower.revision:
-            return None
-        if self._clock() - own_at_s < self._settings.own_age_max_s:
-            return None
         offers = self._offers.values()
         best = max(offers, key=lambda offer: offer.complete_at_s, default=None)
-        if best is None or best.complete_at_s - own_at_s < self._settings.gain_min_s:
+        if best is None:
             return None
-        return best
+        is_lost = self._follower.is_store_lost
+        if is_lost and best.revision > self._follower.revision:
+            return best
+        own_at_s = self._follower.complete_at_s
+        is_recent = self._clock() - own_at_s < self._age_max_s()
+        has_gain = best.complete_at_s - own_at_s >= self._settings.gain_min_s
+        return best if has_gain and not is_recent else None
+
+    def _age_max_s(self) -> float:
+        is_lost = self._follower.is_store_lost
+        return self._settings.lost_age_max_s if is_lost else self._settings.age_max_s
 
     async def _take_over(self, offer: _Offer) -> None:
         if offer.revision == self._follower.revision:
