--- a/src/boragespring/decisions/output.py
+++ b/src/boragespring/decisions/output.py
@@ -22,7 +22,7 @@
 class _DroppingHandler(QueueHandler):
     """Hand records to the writing thread; drop them when it is behind."""
 
-    def __init__(self, records: "queue.Queue[logging.LogRecord]") -> None:
+    def __init__(self, records: "queue.Queue[logging.LogRecord | None]") -> None:
         super().__init__(records)
         self.dropped_lines = 0
 
@@ -38,6 +38,19 @@
             self.dropped_lines += 1
 
 
+class _WaitingListener(QueueListener):
+    """Wait for room when the listener is ended while the queue is full."""
+
+    def __init__(
+        self, records: "queue.Queue[logging.LogRecord | None]", writer: logging.Handler
+    ) -> None:
+        super().__init__(records, writer)
+        self._records = records
+
+    def enqueue_sentinel(self) -> None:
+        self._records.put(None)
+
+
 class LogOutput:
     """Thread that writes the lines; a reader that stands still costs lines only.
 
@@ -52,7 +65,7 @@
     """
 
     def __init__(self, stream: TextIO, queue_lines: int, process_name: str) -> None:
-        records: queue.Queue[logging.LogRecord] = queue.Queue(queue_lines)
+        records: queue.Queue[logging.LogRecord | None] = queue.Queue(queue_lines)
         self._handler = _DroppingHandler(records)
         writer = logging.StreamHandler(stream)
         writer.setFormatter(
@@ -63,7 +76,7 @@
                 timestamp="time",
             )
         )
-        self._listener = QueueListener(records, writer)
+        self._listener = _WaitingListener(records, writer)
         self._is_closed = False
 
     @property
--- a/src/boragespring/fleet/model.py
+++ b/src/boragespring/fleet/model.py
@@ -1,5 +1,7 @@
 """What an entry knows of one backend server."""
 
+from typing import NamedTuple
+
 from attrs import define, field, frozen
 
 __all__ = [
@@ -8,6 +10,7 @@
     "Registration",
     "RunLoad",
     "ServerAddress",
+    "ServerLoadTotals",
     "ServerReport",
 ]
 
@@ -139,6 +142,14 @@
     told_at_s: float
 
 
+class ServerLoadTotals(NamedTuple):
+    """Runs at a server, the memory they will hold, and prompts to be read."""
+
+    runs: int
+    memory_tokens: float
+    prefill_tokens: float
+
+
 @define(eq=False)
 class BackendServer:
     """One backend server with what this entry knows of it.
@@ -190,28 +201,25 @@
         return len(self.runs) + sum(load.runs for load in self.peer_loads.values())
 
     @property
-    def own_memory_tokens(self) -> float:
-        """Memory that the runs of this gateway are expected to hold."""
-        return sum(run.memory_tokens for run in self.runs.values())
-
-    @property
-    def own_prefill_tokens(self) -> float:
-        """Prompt tokens of this gateway's runs that still wait to be read."""
-        return sum(
-            run.prompt_tokens for run in self.runs.values() if not run.is_started
-        )
-
-    @property
-    def memory_tokens(self) -> float:
-        """Memory that all known runs are expected to hold at their end."""
-        peers = self.peer_loads.values()
-        return self.own_memory_tokens + sum(load.memory_tokens for load in peers)
+    def own_load(self) -> ServerLoadTotals:
+        """Load of this gateway's runs."""
+        memory_tokens, prefill_tokens = 0.0, 0.0
+        for run in self.runs.values():
+            memory_tokens += run.memory_tokens
+            if not run.produced_tokens:
+                prefill_tokens += run.prompt_tokens
+        return ServerLoadTotals(len(self.runs), memory_tokens, prefill_tokens)
 
     @property
-    def prefill_tokens(self) -> float:
-        """Prompt tokens that still wait to be read, of all known runs."""
-        peers = self.peer_loads.values()
-        return self.own_prefill_tokens + sum(load.prefill_tokens for load in peers)
+    def load(self) -> ServerLoadTotals:
+        """Load of all known runs, of this gateway and of its peers."""
+        # Placing reads this for each candidate: one pass, no generators.
+        runs, memory_tokens, prefill_tokens = self.own_load
+        for load in self.peer_loads.values():
+            runs += load.runs
+            memory_tokens += load.memory_tokens
+            prefill_tokens += load.prefill_tokens
+        return ServerLoadTotals(runs, memory_tokens, prefill_tokens)
 
     def warm_up_left_s(self, now_s: float) -> float:
         """Return for how long the server is still slow."""
--- a/src/boragespring/forwarding/placement.py
+++ b/src/boragespring/forwarding/placement.py
@@ -1,5 +1,6 @@
 """Choose the backend server of a request among those that take requests."""
 
+import random
 from collections.abc import Collection, Sequence
 from functools import singledispatch
 
@@ -36,6 +37,11 @@
         Cost of each run that shares the engine's steps.
     suspicion_penalty_s : float
         Cost of a server that failed of late.
+    all_compared_max : int
+        Servers up to which all are compared.
+    sample : int
+        Servers that are compared where there are more, drawn at random so that
+        gateways do not all send to the one that looks best.
     """
 
     prefill_tokens_per_s: float = 14_000.0
@@ -44,6 +50,8 @@
     overflow_penalty_s: float = 10.0
     run_penalty_s: float = 0.02
     suspicion_penalty_s: float = 30.0
+    all_compared_max: int = 24
+    sample: int = 8
 
 
 @frozen
@@ -90,6 +98,8 @@
     ]
     if not eligible:
         return None
+    if len(eligible) > settings.all_compared_max:
+        eligible = random.sample(eligible, settings.sample)
     return min(eligible, key=lambda server: server_cost_s(load, server, view, settings))
 
 
@@ -123,13 +133,14 @@
     settings: PlacementSettings,
 ) -> float:
     prompt = load.prompt
-    prefill_tokens = server.prefill_tokens + prompt.prompt_tokens
-    memory_tokens = server.memory_tokens + prompt.prompt_tokens + prompt.output_tokens
+    runs, memory_tokens, prefill_tokens = server.load
+    prefill_tokens += prompt.prompt_tokens
+    memory_tokens += prompt.prompt_tokens + prompt.output_tokens
     share = memory_tokens / max(1, load.engine.memory_tokens)
     overflow = max(0.0, share - settings.memory_share_max)
     return (
         prefill_tokens / settings.prefill_tokens_per_s
-        + settings.run_penalty_s * server.open_runs
+        + settings.run_penalty_s * runs
         + settings.overflow_penalty_s * overflow
         + _common_cost_s(server, view, settings)
     )
--- a/src/boragespring/forwarding/relocation.py
+++ b/src/boragespring/forwarding/relocation.py
@@ -307,8 +307,8 @@
             source=stream.server.server_id,
             target=target.server_id,
             memory_tokens=stream.memory_tokens,
-            target_runs=target.open_runs,
-            target_memory_tokens=round(target.memory_tokens),
+            target_runs=target.load.runs,
+            target_memory_tokens=round(target.load.memory_tokens),
             reason=f"{type(error).__name__}: {error}",
         )
 
--- a/src/boragespring/forwarding/streamed.py
+++ b/src/boragespring/forwarding/streamed.py
@@ -164,9 +164,9 @@
                 "placed",
                 job.request_id,
                 server=server.server_id,
-                open_runs=server.open_runs,
-                memory_tokens=round(server.memory_tokens),
-                prefill_tokens=round(server.prefill_tokens),
+                open_runs=server.load.runs,
+                memory_tokens=round(server.load.memory_tokens),
+                prefill_tokens=round(server.load.prefill_tokens),
                 catalog_version=job.catalog_version,
             )
         return server
--- /dev/null
+++ b/src/boragespring/forwarding/tests/test_evacuation.py
@@ -0,0 +1,90 @@
+"""Order of moves off a leaving server: several gateways, one link."""
+
+import itertools
+
+from boragespring.forwarding.evacuation import Evacuation, LeavingRun
+
+COPY_S = 1e-4
+
+
+class Clock:
+    def __init__(self):
+        self.now_s = 100.0
+
+    def __call__(self):
+        return self.now_s
+
+
+def run(name, memory_tokens=2000, value=10_000.0, ends_in_s=20.0):
+    return LeavingRun(name, memory_tokens, value, ends_in_s)
+
+
+def evacuation(clock, left_s=1.6):
+    return Evacuation(
+        ends_at_s=clock() + left_s,
+        turn_slack_s=0.3,
+        copy_s_per_token=COPY_S,
+        clock=clock,
+    )
+
+
+def played(order, clock):
+    """Return the runs in the order in which they take their turn."""
+    names = []
+    while (head := order.head()) is not None:
+        names.append(head.run_id)
+        clock.now_s += head.memory_tokens * COPY_S
+        order.end(head.run_id)
+    return names
+
+
+def test_all_gateways_follow_one_order():
+    runs = [run("a", 3000), run("b", 1000), run("c", 2000), run("d", 2000, 30_000.0)]
+    orders = set()
+    for arrival in itertools.permutations(runs):
+        clock = Clock()
+        order = evacuation(clock)
+        order.add(arrival)
+        orders.add(tuple(played(order, clock)))
+    assert orders == {("d", "b", "c", "a")}
+
+
+def test_what_does_not_fit_the_notice_lets_others_go_first():
+    clock = Clock()
+    order = evacuation(clock, left_s=0.5)
+    # The large one is worth most for each token but takes 0.7 s.
+    order.add([run("large", 7000, 90_000.0), run("small", 2000), run("mid", 2500)])
+    assert played(order, clock) == ["small", "mid", "large"]
+
+
+def test_what_ends_by_itself_comes_last():
+    clock = Clock()
+    order = evacuation(clock)
+    order.add([run("short", 500, ends_in_s=0.4), run("long", 4000)])
+    assert played(order, clock) == ["long", "short"]
+
+
+def test_a_turn_is_kept_when_a_better_run_is_announced():
+    clock = Clock()
+    order = evacuation(clock)
+    order.add([run("first")])
+    assert order.head().run_id == "first"
+    order.add([run("better", 100)])
+    assert order.head().run_id == "first"
+
+
+def test_a_gateway_that_died_holds_up_nobody_for_long():
+    clock = Clock()
+    order = evacuation(clock)
+    order.add([run("dead", 1000), run("own", 2000)])
+    assert order.head().run_id == "dead"
+    clock.now_s += 1000 * COPY_S + 0.31
+    assert order.head().run_id == "own"
+
+
+def test_an_announcement_that_arrives_late_does_not_bring_back_a_run():
+    clock = Clock()
+    order = evacuation(clock)
+    order.end("moved")
+    order.add([run("moved")])
+    assert order.head() is None
--- /dev/null
+++ b/src/boragespring/forwarding/tests/test_jobs.py
@@ -0,0 +1,135 @@
+"""Admission by the catalog and its age."""
+
+import pytest
+
+from boragespring.catalog import (
+    Catalog,
+    CatalogHolder,
+    EngineProfile,
+    RequestKind,
+    Route,
+    Service,
+    ServiceShare,
+    Workspace,
+)
+from boragespring.decisions import DecisionLog
+from boragespring.forwarding import (
+    CallerRequest,
+    JobGate,
+    JobGateSettings,
+    PromptShape,
+    RefusalReason,
+)
+
+
+class Clock:
+    now_s = 1000.0
+
+    def __call__(self):
+        return self.now_s
+
+
+def route(prefix, kind=RequestKind.IDEMPOTENT, service="svc", **more):
+    shares = (ServiceShare(service, 1.0),)
+    return Route(f"r{prefix}", "host", prefix, kind, shares, 2.0, 0.4, **more)
+
+
+ROUTES = (
+    route("/a/"),
+    route("/a/deep/", priority=3),
+    route("/open/", is_public=True),
+    route("/draft/", RequestKind.STREAMING, "models"),
+)
+
+
+def catalog(version=1, routes=ROUTES, keys=("key",)):
+    services = {
+        "svc": Service("svc", "/health", 10),
+        "models": Service("models", "/health", 10, EngineProfile(24, 30_000)),
+    }
+    workspaces = (Workspace("coop", keys), Workspace("urgent", ("key-u",), 0))
+    return Catalog(version, routes, services, workspaces=workspaces)
+
+
+@pytest.fixture
+def clock():
+    return Clock()
+
+
+@pytest.fixture
+def holder(clock):
+    made = CatalogHolder(DecisionLog(clock=clock), clock)
+    made.offer(catalog(), "test")
+    made.confirm()
+    return made
+
+
+def gate(holder, clock, **settings):
+    return JobGate(holder, JobGateSettings(**settings), clock=clock)
+
+
+def request(path="/a/x", key="key", wait_s=5.0, prompt=None, host="host"):
+    now_s = Clock.now_s
+    return CallerRequest(
+        "r", "GET", host, path, (), b"", key, now_s, now_s + wait_s, prompt
+    )
+
+
+def test_the_longest_prefix_of_whole_segments_wins(holder, clock):
+    admit = gate(holder, clock).admit
+    assert admit(request("/a/deep/x?y=/open/")).route.path_prefix == "/a/deep/"
+    assert admit(request("/a/deeper")).route.path_prefix == "/a/"
+    assert admit(request("/a/", host="other")).reason is RefusalReason.NO_ROUTE
+    assert admit(request("/a")).reason is RefusalReason.NO_ROUTE
+    assert admit(request("/b/a/")).reason is RefusalReason.NO_ROUTE
+
+
+def test_keys_and_priorities(holder, clock):
+    admit = gate(holder, clock).admit
+    assert admit(request(key="no")).reason is RefusalReason.UNKNOWN_KEY
+    assert admit(request("/open/x", key="no")).workspace == ""
+    assert admit(request("/a/deep/x")).urgency == 3
+    assert admit(request("/a/deep/x", key="key-u")).urgency == 0
+
+
+def test_the_answer_is_due_at_the_earlier_of_both_ends(holder, clock):
+    admit = gate(holder, clock).admit
+    assert admit(request(wait_s=0.5)).deadline_s == clock.now_s + 0.5
+    assert admit(request(wait_s=50)).deadline_s == clock.now_s + 2.0
+    late = admit(request(wait_s=0.0))
+    assert (late.reason, late.was_not_run) == (RefusalReason.TOO_LATE, True)
+
+
+def test_nothing_is_said_to_be_unknown_by_an_old_catalog(holder, clock):
+    checked = gate(holder, clock, unsure_age_s=2.0)
+    clock.now_s += 2.5
+    for refused in (checked.admit(request("/none/")), checked.admit(request(key="no"))):
+        assert refused.reason is RefusalReason.STALE_CATALOG
+        assert refused.was_not_run
+        assert refused.retry_after_s > 0
+
+
+def test_strict_revocation_ends_service_by_an_old_catalog(holder, clock):
+    lenient, strict = gate(holder, clock), gate(holder, clock, catalog_age_max_s=5.0)
+    clock.now_s += 6.0
+    late = {"wait_s": 60.0}
+    assert lenient.is_catalog_usable
+    assert not strict.is_catalog_usable
+    assert strict.admit(request(**late)).reason is RefusalReason.STALE_CATALOG
+
+
+def test_a_catalog_never_steps_back(holder):
+    assert not holder.offer(catalog(version=1, keys=("old",)), "peer")
+    assert holder.offer(catalog(version=9, keys=("new",)), "store")
+    assert not holder.offer(catalog(version=8), "peer")
+    assert holder.catalog.find_workspace("new").name == "coop"
+
+
+def test_a_stop_refuses_streams_that_it_would_cut(holder, clock):
+    stopping = gate(holder, clock)
+    stopping.stops_at_s = clock.now_s + 4.0
+    long, short = PromptShape(10, 2000), PromptShape(10, 2000, 100)
+    refused = stopping.admit(request("/draft/x", prompt=long))
+    assert (refused.reason, refused.was_not_run) == (RefusalReason.LEAVING, True)
+    assert stopping.admit(request("/draft/x", prompt=short)).service.name == "models"
+    assert stopping.admit(request("/a/x")).service.name == "svc"
--- a/src/boragespring/sharing/loads.py
+++ b/src/boragespring/sharing/loads.py
@@ -92,15 +92,14 @@
         link.send(GatewayLoads(self._rows()))
 
     def _rows(self) -> list[list[object]]:
-        return [
-            [
-                server.server_id,
-                len(server.runs),
-                round(server.own_memory_tokens),
-                round(server.own_prefill_tokens),
-            ]
+        loads = (
+            (server.server_id, server.own_load)
             for server in self._fleet.servers
             if server.runs
+        )
+        return [
+            [name, load.runs, round(load.memory_tokens), round(load.prefill_tokens)]
+            for name, load in loads
         ]
 
     def _take(self, link: Link, told: GatewayLoads) -> None:
