--- a/src/boragespring/cli/app.py
+++ b/src/boragespring/cli/app.py
@@ -10,6 +10,7 @@
     check,
     daemons,
     demo,
+    explain,
     faults,
     gateway,
     leave,
@@ -34,6 +35,7 @@
 check.add_commands(app)
 daemons.add_commands(app)
 demo.add_commands(app)
+explain.add_commands(app)
 faults.add_commands(app)
 gateway.add_commands(app)
 leave.add_commands(app)
--- a/src/boragespring/cli/check.py
+++ b/src/boragespring/cli/check.py
@@ -13,6 +13,7 @@
     capacity_warnings,
     structure_document,
 )
+from boragespring.platform.settings_file import load_gateway_settings
 from boragespring.settings import (
     AgentSettings,
     EntrySettings,
@@ -51,7 +52,7 @@
     Parameters
     ----------
     file, kind : str
-        Path, and ``entry``, ``agent``, ``lists`` or ``instances``.
+        Path, and ``entry``, ``agent``, ``gateway``, ``lists`` or ``instances``.
     errors : list of FoundError
         Every field in error.
     warnings : list of str
@@ -93,6 +94,8 @@
 
 def check_file(path: Path) -> FileReport:
     """Check one file; raise `SettingsFileError` when it cannot be read."""
+    if path.suffix == ".toml":
+        return _check_gateway(path)
     data = load_document(path)
     kind = _kind_of(data)
     report = FileReport(str(path), kind)
@@ -107,6 +110,16 @@
     return report
 
 
+def _check_gateway(path: Path) -> FileReport:
+    """Check the settings file that the platform writes for a gateway."""
+    report = FileReport(str(path), "gateway")
+    try:
+        load_gateway_settings(path)
+    except FieldErrorGroup as group:
+        report.errors.extend(_found_errors(group.exceptions))
+    return report
+
+
 _CLASS_BY_KIND: Mapping[str, type[Any]] = {
     "entry": EntrySettings,
     "agent": AgentSettings,
--- a/src/boragespring/cli/demo.py
+++ b/src/boragespring/cli/demo.py
@@ -14,6 +14,7 @@
     LocalSettings,
     local_document,
 )
+from boragespring.platform.emulator.demo import show_platform
 
 __all__ = ["add_commands"]
 
@@ -33,9 +34,11 @@
     """Start everything on loopback ports, run a generation and a call, stop.
 
     Prints the time to the first token, the answer, what engine and service have
-    in their ledgers, and where the metrics are.
+    in their ledgers, and where the metrics are. Then the same over a gateway on
+    the emulated platform, with a stream that outlives its server.
     """
     asyncio.run(_demo())
+    asyncio.run(show_platform(typer.echo))
 
 
 async def _demo() -> None:
--- /dev/null
+++ b/src/boragespring/platform/tests/test_settings_file.py
@@ -0,0 +1,87 @@
+"""The platform's settings file, right and wrong."""
+
+import pytest
+from typer.testing import CliRunner
+
+from boragespring.cli.app import app
+from boragespring.platform.settings_file import load_gateway_settings
+from boragespring.settings import FieldErrorGroup, SettingsFileError
+
+GOOD = """
+node = "front-1"
+zone = "a"
+region = "r"
+ip_address = "10.1.0.19"
+internal_ports = [7200, 7215]
+seeds = ["10.1.0.19:8748", "10.2.0.13:8748"]
+a_field_of_tomorrow = 5
+[listen]
+front = "10.1.0.19:8740"
+ready = "10.1.0.19:8749"
+[limits]
+memory_mb = 150
+[bounds]
+drain_ms = 1500
+strict_revocation = true
+revocation_ms = 4000
+[platform]
+address = "10.200.1.7:8742"
+"""
+
+
+@pytest.fixture
+def write(tmp_path):
+    path = tmp_path / "local.toml"
+
+    def write(text):
+        path.write_text(text, encoding="utf-8")
+        return path
+
+    return write
+
+
+def test_fields_are_decoded_with_their_units(write):
+    settings = load_gateway_settings(write(GOOD))
+    assert settings.name == "front-1"
+    assert (settings.callers.host, settings.callers.port) == ("10.1.0.19", 8740)
+    assert settings.peers.port == 7200
+    assert [seed.host for seed in settings.seeds] == ["10.1.0.19", "10.2.0.13"]
+    assert settings.store.url == "http://10.200.1.7:8742"
+    assert settings.bounds.leaving_delay_s == 1.5
+    assert settings.bounds.revocation_age_max_s == 4.0
+
+
+def test_outages_do_not_end_service_unless_revocation_is_strict(write):
+    lenient = GOOD.replace("strict_revocation = true", "strict_revocation = false")
+    settings = load_gateway_settings(write(lenient))
+    assert settings.bounds.revocation_age_max_s == float("inf")
+
+
+@pytest.mark.parametrize(
+    ("before", "after", "named"),
+    [
+        ('node = "front-1"', "", "node"),
+        ("drain_ms = 1500", 'drain_ms = "soon"', "bounds.drain_ms"),
+        ("[7200, 7215]", "[]", "internal_ports"),
+        ('front = "10.1.0.19:8740"', 'front = "nowhere"', "listen.front"),
+        ('node = "front-1"', "node = ", "local.toml"),
+    ],
+)
+def test_errors_name_file_and_field(write, before, after, named):
+    path = write(GOOD.replace(before, after))
+    with pytest.raises((FieldErrorGroup, SettingsFileError)) as caught:
+        load_gateway_settings(path)
+    text = str(caught.value)
+    if isinstance(caught.value, FieldErrorGroup):
+        text = " ".join(map(str, caught.value.exceptions))
+    assert named in text
+    assert "local.toml" in text
+
+
+def test_the_check_command_knows_the_file(write):
+    path = write(GOOD)
+    assert CliRunner().invoke(app, ["check", str(path)]).exit_code == 0
+    wrong = write(GOOD.replace("drain_ms = 1500", 'drain_ms = "soon"'))
+    found = CliRunner().invoke(app, ["check", str(wrong)])
+    assert found.exit_code == 1
+    assert "bounds.drain_ms" in found.output
