--- a/src/boragespring/forwarding/placement.py
+++ b/src/boragespring/forwarding/placement.py
@@ -51,7 +51,7 @@
     run_penalty_s: float = 0.02
     suspicion_penalty_s: float = 30.0
     all_compared_max: int = 24
-    sample: int = 8
+    sample: int = 6
 
 
 @frozen
