--- a/src/boragespring/forwarding/placement.py
+++ b/src/boragespring/forwarding/placement.py
@@ -93,9 +93,9 @@
     load: ServiceCall | EngineLoad, view: PlacementView, settings: PlacementSettings
 ) -> BackendServer | None:
     """Return the server with the lowest cost, or None when there is none."""
-    eligible = [
-        server for server in view.servers if server.server_id not in view.avoided
-    ]
+    eligible = view.servers
+    if view.avoided:
+        eligible = [one for one in eligible if one.server_id not in view.avoided]
     if not eligible:
         return None
     if len(eligible) > settings.all_compared_max:
