--- a/src/boragespring/gateway/daemon.py
+++ b/src/boragespring/gateway/daemon.py
@@ -17,7 +17,7 @@
 #: Time after the signal during which callers still open connections.
 BALANCER_DELAY_S = 3.5
 #: Part of the grace that is kept for closing down.
-CLOSE_DOWN_S = 0.5
+CLOSE_DOWN_S = 0.3
 #: Time between two looks at what was learned from the store.
 UPKEEP_INTERVAL_S = 0.25
 
