--- a/src/boragespring/composition/gateway.py
+++ b/src/boragespring/composition/gateway.py
@@ -60,7 +60,12 @@
 #: Prefix of every key in the store.
 ALL_KEYS = ""
 #: Most gateways that one gateway keeps links to.
-LINKS_MAX = 16
+LINKS_MAX = 40
+#: Gateways confirm each other's copies of the store: the more there are, the
+#: longer each may wait in its watch. Time for each gateway, and bounds.
+WATCH_WAIT_S_PER_GATEWAY = 0.4
+WATCH_WAIT_MIN_S = 2.0
+WATCH_WAIT_MAX_S = 10.0
 
 
 def build_gateway(settings: GatewaySettings, log: DecisionLog) -> Gateway:
@@ -121,6 +126,11 @@
     )
     evacuations.leaving_hooks.append(inspection.take_leaving)
 
+    def set_watch_wait() -> None:
+        wait_s = WATCH_WAIT_S_PER_GATEWAY * (1 + len(peers.links()))
+        wait_s = min(max(wait_s, WATCH_WAIT_MIN_S), WATCH_WAIT_MAX_S)
+        store.watch_wait_s = wait_s
+
     def limits() -> CallerLimits:
         return holder.catalog.limits if holder.catalog else CallerLimits()
 
@@ -133,7 +143,7 @@
             copies.run,
             inspection.run,
         ),
-        upkeep=(fleet.drop_lapsed, loads.drop_outdated),
+        upkeep=(fleet.drop_lapsed, loads.drop_outdated, set_watch_wait),
         leave_hooks=(loads.leave,),
         closers=(presence.withdraw, store.close, calls.close),
         gate=gate,
--- /dev/null
+++ b/src/boragespring/forwarding/overload.py
@@ -0,0 +1,71 @@
+"""Refuse at once what the engines have no memory for in time.
+
+Answers the load at which engines' memory is full: each further generation then
+waits in an engine's queue, or sets another one back, and soon all come late.
+"""
+
+import random
+
+from attrs import frozen
+
+from boragespring.catalog import EngineProfile, Route
+from boragespring.fleet import BackendServer
+from boragespring.forwarding.messages import PromptShape
+
+__all__ = ["OverloadSettings", "expected_wait_s", "refusal_pause_s"]
+
+
+@frozen
+class OverloadSettings:
+    """When a generation is refused.
+
+    Parameters
+    ----------
+    memory_share : float
+        Share of an engine's memory that expected runs may fill before further
+        ones wait.
+    urgent_share : float
+        The same for the most urgent requests, which engines admit first.
+    release_s : float
+        Time in which an engine's full memory comes free as its runs end.
+    prefill_tokens_per_s : float
+        Rate at which engines read prompts.
+    wait_share_max : float
+        Share of the route's objective that may pass until the prompt is read.
+    retry_min_s, retry_max_s : float
+        Earliest and latest time to come back; drawn at random, so that those
+        refused together do not return together.
+    """
+
+    memory_share: float = 1.0
+    urgent_share: float = 1.3
+    release_s: float = 7.0
+    prefill_tokens_per_s: float = 14_000.0
+    wait_share_max: float = 0.6
+    retry_min_s: float = 0.4
+    retry_max_s: float = 1.0
+
+
+def expected_wait_s(
+    server: BackendServer,
+    prompt: PromptShape,
+    engine: EngineProfile,
+    urgency: int,
+    settings: OverloadSettings,
+) -> float:
+    """Return the time until an engine has room for a prompt and has read it."""
+    load = server.load
+    share = settings.memory_share if urgency else settings.urgent_share
+    needed_tokens = load.memory_tokens + prompt.prompt_tokens + prompt.output_tokens
+    excess = max(0.0, needed_tokens / max(1, engine.memory_tokens) - share)
+    prefill_tokens = load.prefill_tokens + prompt.prompt_tokens
+    return excess * settings.release_s + prefill_tokens / settings.prefill_tokens_per_s
+
+
+def refusal_pause_s(
+    wait_s: float, route: Route, settings: OverloadSettings, chance: random.Random
+) -> float | None:
+    """Return when a refused request shall come back; None to send it."""
+    if route.objective_s <= 0 or wait_s <= settings.wait_share_max * route.objective_s:
+        return None
+    return chance.uniform(settings.retry_min_s, settings.retry_max_s)
--- a/src/boragespring/forwarding/streamed.py
+++ b/src/boragespring/forwarding/streamed.py
@@ -1,6 +1,7 @@
 """Forward a stream; it may go on at another server when its own leaves."""
 
 import asyncio
+import random
 import time
 from enum import Enum, auto
 
@@ -24,6 +25,11 @@
     ResumePoint,
     ServerReply,
 )
+from boragespring.forwarding.overload import (
+    OverloadSettings,
+    expected_wait_s,
+    refusal_pause_s,
+)
 from boragespring.forwarding.placement import (
     EngineLoad,
     PlacementView,
@@ -52,12 +58,15 @@
         Largest reply without events that is held back.
     retry_after_s : float
         When to come back after a refusal.
+    overload : OverloadSettings
+        When a generation is refused for the engines' load.
     """
 
     sends_max: int = 4
     handover_wait_s: float = 2.5
     body_max_bytes: int = 2**20
     retry_after_s: float = 0.3
+    overload: OverloadSettings = OverloadSettings()
 
 
 class StreamEnd(Enum):
@@ -103,10 +112,12 @@
         context: ForwardingContext,
         relocations: Relocations,
         settings: StreamSettings,
+        chance: random.Random | None = None,
     ) -> None:
         self._context = context
         self._relocations = relocations
         self._settings = settings
+        self._chance = chance or random.Random()
 
     async def forward(self, job: Job, caller: CallerReply) -> StreamOutcome | Refusal:
         """Carry a stream to its end; return a refusal when nothing was sent."""
@@ -129,6 +140,9 @@
             server = self._choose(job, sends)
             if server is None:
                 return self._refuse(RefusalReason.NO_SERVER)
+            refusal = self._overload(job, server)
+            if refusal is not None:
+                return refusal
             if sends.count and not self._context.budget.take(job.service.name):
                 return self._refuse(RefusalReason.OVERLOADED)
             sends.count += 1
@@ -171,6 +185,27 @@
             )
         return server
 
+    def _overload(self, job: Job, server: BackendServer) -> Refusal | None:
+        """Refuse a generation that even the best engine would begin too late."""
+        engine, prompt = job.service.engine, job.request.prompt
+        if engine is None or prompt is None:
+            return None
+        settings = self._settings.overload
+        wait_s = expected_wait_s(server, prompt, engine, job.urgency, settings)
+        pause_s = refusal_pause_s(wait_s, job.route, settings, self._chance)
+        if pause_s is None:
+            return None
+        self._context.log.failure(
+            "overloaded",
+            job.request_id,
+            server=server.server_id,
+            expected_wait_s=round(wait_s, 3),
+            objective_s=job.route.objective_s,
+            memory_tokens=round(server.load.memory_tokens),
+            prefill_tokens=round(server.load.prefill_tokens),
+        )
+        return Refusal(RefusalReason.OVERLOADED, True, pause_s)
+
     async def _send(self, job: Job, server: BackendServer) -> _Opened | Refusal | str:
         """Send to one server; a text says why it surely did not run there."""
         prompt = job.request.prompt or _NO_PROMPT
--- a/src/boragespring/platform/store_client.py
+++ b/src/boragespring/platform/store_client.py
@@ -49,7 +49,7 @@
     call_timeout_s : float
         Longest wait for the answer to a call.
     watch_wait_s : float
-        Time that the store may hold a watch without changes.
+        Time that the store may hold a watch without changes, to begin with.
     watch_slack_s : float
         Time beyond that after which a watch counts as dead.
     """
@@ -66,6 +66,8 @@
 
     def __init__(self, settings: PlatformStoreSettings) -> None:
         self._settings = settings
+        #: Time for which the store holds the next watch.
+        self.watch_wait_s = settings.watch_wait_s
         self._session: aiohttp.ClientSession | None = None
 
     async def get(self, key: str) -> GetResult:
@@ -152,9 +154,9 @@
         self, prefix: str, from_revision: int
     ) -> AsyncGenerator[WatchBatch, None]:
         """Yield changes under a prefix from a revision on, in order."""
-        wait_s = self._settings.watch_wait_s
         after_revision = from_revision - 1
         while True:
+            wait_s = self.watch_wait_s
             query = {
                 "path_prefix": prefix,
                 "after_revision": str(after_revision),
--- a/src/boragespring/sharing/copies.py
+++ b/src/boragespring/sharing/copies.py
@@ -46,7 +46,7 @@
     """What another gateway told of its copy."""
 
     link: Link
-    revision: int
+    content_revision: int
     complete_at_s: float
 
 
@@ -97,7 +97,7 @@
         if best is None:
             return None
         is_lost = self._follower.is_store_lost
-        if is_lost and best.revision > self._follower.revision:
+        if is_lost and best.content_revision > self._follower.content_revision:
             return best
         own_at_s = self._follower.complete_at_s
         is_recent = self._clock() - own_at_s < self._age_max_s()
@@ -109,8 +109,8 @@
         return self._settings.lost_age_max_s if is_lost else self._settings.age_max_s
 
     async def _take_over(self, offer: _Offer) -> None:
-        if offer.revision == self._follower.revision:
-            self._follower.confirm_copy(offer.revision, offer.complete_at_s)
+        if offer.content_revision == self._follower.content_revision:
+            self._follower.confirm_copy(offer.content_revision, offer.complete_at_s)
             return
         begun_s = self._clock()
         try:
@@ -122,7 +122,9 @@
             return
         items = [KeyValue(key, value, 0, rev) for key, value, rev in reply.items]
         complete_at_s = begun_s - reply.age_ms / 1000
-        self._follower.take_copy(items, reply.revision, complete_at_s)
+        self._follower.take_copy(
+            items, reply.revision, reply.content_revision, complete_at_s
+        )
         self._log.belief(
             "copy_taken",
             peer=offer.link.peer.name,
@@ -132,7 +134,9 @@
 
     def _note_age(self, link: Link, told: CopyAge) -> None:
         complete_at_s = self._clock() - told.age_ms / 1000
-        self._offers[link.peer.name] = _Offer(link, told.revision, complete_at_s)
+        self._offers[link.peer.name] = _Offer(
+            link, told.content_revision, complete_at_s
+        )
 
     def _forget(self, link: Link) -> None:
         offer = self._offers.get(link.peer.name)
@@ -141,12 +145,17 @@
 
     def _tell_age(self, link: Link) -> None:
         if self._follower.revision:
-            link.send(CopyAge(self._follower.revision, self._age_ms()))
+            link.send(CopyAge(self._follower.content_revision, self._age_ms()))
 
     async def _answer(self, _: Link, __: ReadCopy) -> CopyReply:
         items = self._follower.items
         rows = [[item.key, item.value, item.mod_revision] for item in items]
-        return CopyReply(self._follower.revision, self._age_ms(), rows)
+        return CopyReply(
+            self._follower.revision,
+            self._follower.content_revision,
+            self._age_ms(),
+            rows,
+        )
 
     def _age_ms(self) -> int:
         return round((self._clock() - self._follower.complete_at_s) * 1000)
--- a/src/boragespring/sharing/loads.py
+++ b/src/boragespring/sharing/loads.py
@@ -64,7 +64,7 @@
         #: Whether this gateway stops.
         self.is_leaving = False
         dispatcher.on(GatewayLoads, self._take)
-        dispatcher.on_tick(self._send)
+        dispatcher.on_tick(self._send_on_tick)
 
     def has_serving_peer(self) -> bool:
         """Return whether a linked gateway does not stop."""
@@ -101,6 +101,12 @@
                 # The link is dialled again, and then tells everything.
                 continue
 
+    def _send_on_tick(self, link: Link) -> None:
+        """Send once to each peer, though two may have dialled each other."""
+        own = self._links()
+        if link in own or all(one.peer.name != link.peer.name for one in own):
+            self._send(link)
+
     def _send(self, link: Link) -> None:
         link.send(GatewayLoads(self._rows(), self.is_leaving))
 
--- a/src/boragespring/sharing/messages.py
+++ b/src/boragespring/sharing/messages.py
@@ -38,13 +38,13 @@
 
     Parameters
     ----------
-    revision : int
-        Store revision of the copy.
+    content_revision : int
+        Revision of the last change that the copy has.
     age_ms : int
         Time since the copy was known to be complete.
     """
 
-    revision: int
+    content_revision: int
     age_ms: int
 
 
@@ -61,6 +61,8 @@
     ----------
     revision : int
         Store revision of the copy.
+    content_revision : int
+        Revision of the last change that the copy has.
     age_ms : int
         Time since the copy was known to be complete.
     items : list
@@ -68,6 +70,7 @@
     """
 
     revision: int
+    content_revision: int
     age_ms: int
     items: list[Any]
 
--- a/src/boragespring/store/follower.py
+++ b/src/boragespring/store/follower.py
@@ -98,6 +98,7 @@
         self._clock = clock
         self._items: dict[str, KeyValue] = {}
         self._read_revision = 0
+        self._content_revision = 0
         self._next_revision = 0
         self._copy_revision = 0
         self._complete_at_s = float("-inf")
@@ -110,6 +111,11 @@
         """Store revision of the copy; 0 before the first one."""
         return self._copy_revision
 
+    @property
+    def content_revision(self) -> int:
+        """Revision of the last change that the copy has; equal for equal copies."""
+        return self._content_revision
+
     @property
     def is_store_lost(self) -> bool:
         """Whether the last call to the store failed."""
@@ -125,18 +131,23 @@
         """All keys of the copy."""
         return list(self._items.values())
 
-    def confirm_copy(self, revision: int, complete_at_s: float) -> None:
+    def confirm_copy(self, content_revision: int, complete_at_s: float) -> None:
         """Note that a process with the same copy knew it to be complete."""
-        if revision <= self._copy_revision:
+        if content_revision == self._content_revision:
             self._note_complete(self._copy_revision, complete_at_s)
 
     def take_copy(
-        self, items: Sequence[KeyValue], revision: int, complete_at_s: float
+        self,
+        items: Sequence[KeyValue],
+        revision: int,
+        content_revision: int,
+        complete_at_s: float,
     ) -> None:
         """Take over another process's copy unless the own one is newer."""
         if revision < self._copy_revision:
             return
         self._replace(items, revision)
+        self._content_revision = content_revision
         self._target.on_snapshot(items, False)
         self._note_complete(revision, complete_at_s)
 
@@ -178,6 +189,8 @@
     def _replace(self, items: Sequence[KeyValue], revision: int) -> None:
         self._items = {item.key: item for item in items}
         self._read_revision = revision
+        newest = max((item.mod_revision for item in items), default=0)
+        self._content_revision = max(self._content_revision, newest)
 
     def _apply(self, event: WatchEvent) -> None:
         # A range of several pages, or a copy of another process, may hold a
@@ -186,6 +199,7 @@
         known_revision = known.mod_revision if known else 0
         if event.revision <= max(known_revision, self._read_revision):
             return
+        self._content_revision = max(self._content_revision, event.revision)
         if event.item is None:
             self._items.pop(event.key, None)
         else:
--- a/src/boragespring/store/tests/test_follower.py
+++ b/src/boragespring/store/tests/test_follower.py
@@ -91,9 +91,9 @@
     keyspace = Keyspace()
     put(keyspace, "a/1", b"x")
     async with following(keyspace) as (_, follower, target):
-        follower.take_copy([KeyValue("a/9", b"z", 1, 90)], 95, 5.0)
+        follower.take_copy([KeyValue("a/9", b"z", 1, 90)], 95, 90, 5.0)
         assert target.values == {"a/9": b"z"}
-        follower.take_copy([KeyValue("a/1", b"x", 1, 2)], 3, 6.0)
+        follower.take_copy([KeyValue("a/1", b"x", 1, 2)], 3, 2, 6.0)
         assert target.values == {"a/9": b"z"}
         assert follower.revision == 95
 
@@ -103,7 +103,7 @@
     async with following(keyspace) as (_, follower, target):
         revision = put(keyspace, "a/1", b"x")
         # The copy is of a later revision, at which the key was removed.
-        follower.take_copy([], revision + 1, 5.0)
+        follower.take_copy([], revision + 1, revision + 1, 5.0)
         await asyncio.sleep(0.1)
         assert target.values == {}
 
