--- a/src/boragespring/forwarding/overload.py
+++ b/src/boragespring/forwarding/overload.py
@@ -10,7 +10,6 @@
 
 from boragespring.catalog import EngineProfile, Route
 from boragespring.fleet import BackendServer
-from boragespring.forwarding.messages import PromptShape
 
 __all__ = ["OverloadSettings", "expected_wait_s", "refusal_pause_s"]
 
@@ -26,6 +25,9 @@
         ones wait.
     urgent_share : float
         The same for the most urgent requests, which engines admit first.
+    usual_share : float
+        Share of the memory that a request counts with. It is the same for all,
+        as large requests would be refused more often otherwise.
     release_s : float
         Time in which an engine's full memory comes free as its runs end.
     prefill_tokens_per_s : float
@@ -39,27 +41,30 @@
 
     memory_share: float = 1.0
     urgent_share: float = 1.3
+    usual_share: float = 0.15
     release_s: float = 7.0
     prefill_tokens_per_s: float = 14_000.0
-    wait_share_max: float = 0.6
-    retry_min_s: float = 0.4
-    retry_max_s: float = 1.0
+    wait_share_max: float = 0.7
+    retry_min_s: float = 0.6
+    retry_max_s: float = 1.1
 
 
 def expected_wait_s(
     server: BackendServer,
-    prompt: PromptShape,
     engine: EngineProfile,
     urgency: int,
     settings: OverloadSettings,
 ) -> float:
-    """Return the time until an engine has room for a prompt and has read it."""
+    """Return the time until an engine has room for a prompt and begins with it.
+
+    It does not depend on the prompt: all sizes shall be refused alike.
+    """
     load = server.load
     share = settings.memory_share if urgency else settings.urgent_share
-    needed_tokens = load.memory_tokens + prompt.prompt_tokens + prompt.output_tokens
-    excess = max(0.0, needed_tokens / max(1, engine.memory_tokens) - share)
-    prefill_tokens = load.prefill_tokens + prompt.prompt_tokens
-    return excess * settings.release_s + prefill_tokens / settings.prefill_tokens_per_s
+    held_share = load.memory_tokens / max(1, engine.memory_tokens)
+    excess = max(0.0, held_share + settings.usual_share - share)
+    prefill_s = load.prefill_tokens / settings.prefill_tokens_per_s
+    return excess * settings.release_s + prefill_s
 
 
 def refusal_pause_s(
--- a/src/boragespring/forwarding/streamed.py
+++ b/src/boragespring/forwarding/streamed.py
@@ -187,11 +187,11 @@
 
     def _overload(self, job: Job, server: BackendServer) -> Refusal | None:
         """Refuse a generation that even the best engine would begin too late."""
-        engine, prompt = job.service.engine, job.request.prompt
-        if engine is None or prompt is None:
+        engine = job.service.engine
+        if engine is None:
             return None
         settings = self._settings.overload
-        wait_s = expected_wait_s(server, prompt, engine, job.urgency, settings)
+        wait_s = expected_wait_s(server, engine, job.urgency, settings)
         pause_s = refusal_pause_s(wait_s, job.route, settings, self._chance)
         if pause_s is None:
             return None
