--- a/src/boragespring/composition/gateway.py
+++ b/src/boragespring/composition/gateway.py
@@ -34,13 +34,18 @@
 from boragespring.membership.entry_peers import EntryPeers
 from boragespring.metrics import LinkMetrics
 from boragespring.metrics.gateway import GatewayMetrics
+from boragespring.metrics.store import StoreMetrics
 from boragespring.platform.followers import CatalogFeed, FleetFeed, StoreContactLog
 from boragespring.platform.front_door import FrontDoor
 from boragespring.platform.names import CATALOG_KEY, REGISTRATION_PREFIX
 from boragespring.platform.readiness import ReadinessServer
 from boragespring.platform.server_calls import HttpServerCalls, ServerCallSettings
 from boragespring.platform.store_client import PlatformStore, PlatformStoreSettings
-from boragespring.settings.gateway import GatewayBounds, GatewaySettings
+from boragespring.settings.gateway import (
+    GatewayBounds,
+    GatewaySettings,
+    GatewayStoreSettings,
+)
 from boragespring.sharing import (
     CopySharing,
     CopySharingSettings,
@@ -51,6 +56,7 @@
     PresenceSettings,
 )
 from boragespring.sharing.presence import PRESENCE_PREFIX
+from boragespring.store import BudgetedStore, BudgetSettings
 from boragespring.store.fan_out import PrefixFanOut
 from boragespring.store.follower import PrefixFollower
 from boragespring.store.instances import Instance, InstanceRole
@@ -61,6 +67,8 @@
 ALL_KEYS = ""
 #: Most gateways that one gateway keeps links to.
 LINKS_MAX = 40
+#: Gateways among which the store's rates are shared.
+STORE_SHARES = 64
 #: Gateways confirm each other's copies of the store: the more there are, the
 #: longer each may wait in its watch. Time for each gateway, and bounds.
 WATCH_WAIT_S_PER_GATEWAY = 0.4
@@ -73,7 +81,9 @@
     registry = CollectorRegistry()
     holder = CatalogHolder(log)
     fleet = Fleet(FleetSettings(), log)
-    store = PlatformStore(PlatformStoreSettings(settings.store.url))
+    platform_store = PlatformStore(PlatformStoreSettings(settings.store.url))
+    store = BudgetedStore(platform_store, _store_budget(settings.store))
+    StoreMetrics(registry, store.counters)
     calls = HttpServerCalls(ServerCallSettings())
     gate = JobGate(holder, _gate_settings(settings.bounds))
     peers = _build_peers(settings, registry, log)
@@ -129,7 +139,7 @@
     def set_watch_wait() -> None:
         wait_s = WATCH_WAIT_S_PER_GATEWAY * (1 + len(peers.links()))
         wait_s = min(max(wait_s, WATCH_WAIT_MIN_S), WATCH_WAIT_MAX_S)
-        store.watch_wait_s = wait_s
+        platform_store.watch_wait_s = wait_s
 
     def limits() -> CallerLimits:
         return holder.catalog.limits if holder.catalog else CallerLimits()
@@ -295,6 +305,13 @@
     )
 
 
+def _store_budget(settings: GatewayStoreSettings) -> BudgetSettings:
+    return BudgetSettings(
+        writes_per_s=settings.writes_per_s / STORE_SHARES,
+        reads_per_s=settings.reads_per_s / STORE_SHARES,
+    )
+
+
 def _budget_settings(bounds: GatewayBounds) -> RetryBudgetSettings:
     return RetryBudgetSettings(
         ratio=bounds.retry_ratio,
--- a/src/boragespring/forwarding/__init__.py
+++ b/src/boragespring/forwarding/__init__.py
@@ -23,7 +23,6 @@
     ReplyHead,
     ResumePoint,
     RunCopy,
-    ServerLoad,
     ServerReply,
 )
 from boragespring.forwarding.placement import PlacementSettings
@@ -59,7 +58,6 @@
     "RetryBudgetSettings",
     "RunCopy",
     "RunNotFoundError",
-    "ServerLoad",
     "ServerReply",
     "ServerUnreachableError",
     "StreamForwarder",
--- a/src/boragespring/forwarding/messages.py
+++ b/src/boragespring/forwarding/messages.py
@@ -22,7 +22,6 @@
     "ReplyHead",
     "ResumePoint",
     "RunCopy",
-    "ServerLoad",
     "ServerReply",
 ]
 
@@ -149,15 +148,6 @@
     resume: ResumePoint | None = None
 
 
-@frozen
-class ServerLoad:
-    """Load that a server tells with a reply."""
-
-    running: int
-    waiting: int
-    slots: int
-
-
 @frozen
 class ReplyHead:
     """Status and headers of a reply.
@@ -178,8 +168,6 @@
         Whether another server than the expected one has the address.
     is_encoded : bool
         Whether the body is not the server's own bytes.
-    load : ServerLoad or None
-        Load of the server, where it tells it.
     """
 
     status: int
@@ -189,7 +177,6 @@
     was_not_run: bool = False
     is_other_server: bool = False
     is_encoded: bool = False
-    load: ServerLoad | None = None
 
     @property
     def is_success(self) -> bool:
@@ -202,7 +189,6 @@
     """Copy of a run at another server, or of a run that stopped at its own."""
 
     copy_id: str
-    produced_events: int
 
 
 class ServerReply(Protocol):
@@ -256,10 +242,6 @@
         """Read a model server's load and state; raise `ForwardingError`."""
         ...
 
-    async def release_copy(self, server: BackendServer, copy_id: str) -> None:
-        """Free a copy that is not used, at both ends."""
-        ...
-
 
 class RefusalReason(StrEnum):
     """Why a request ends without a server's reply."""
--- a/src/boragespring/platform/server_calls.py
+++ b/src/boragespring/platform/server_calls.py
@@ -21,7 +21,6 @@
     ReplyLostError,
     RunCopy,
     RunNotFoundError,
-    ServerLoad,
     ServerUnreachableError,
 )
 from boragespring.platform import names
@@ -139,16 +138,11 @@
         status, reply = await self._call(server, "POST", "/kv-move", body)
         copy_id = str(reply.get("handle") or "")
         if status == _OK:
-            # "created" counts the events that the run has produced so far.
-            return RunCopy(copy_id, int(reply.get("created") or 0))
+            return RunCopy(copy_id)
         if status == _NOT_FOUND:
             raise RunNotFoundError(f"no run {run_id} at {server.server_id}")
         raise CopyRefusedError(f"status {status}", copy_id)
 
-    async def release_copy(self, server: BackendServer, copy_id: str) -> None:
-        """Free a copy that is not used, at both ends."""
-        await self._call(server, "DELETE", f"/kv-handle/{copy_id}", None)
-
     async def fetch_report(self, server: BackendServer) -> ServerReport:
         """Read a model server's load and state, some hundred milliseconds old."""
         status, body = await self._call(
@@ -247,18 +241,9 @@
         was_not_run=names.NOT_RUN in headers,
         is_other_server=response.status == _MISDIRECTED,
         is_encoded=encoding.strip().lower() not in ("", "identity"),
-        load=_load(headers.get(names.SERVER_LOAD, "")),
     )
 
 
-def _load(text: str) -> ServerLoad | None:
-    parts = text.split(",")
-    if len(parts) != 3 or not all(part.strip().isdecimal() for part in parts):
-        return None
-    running, waiting, slots = map(int, parts)
-    return ServerLoad(running, waiting, slots)
-
-
 def _object(data: bytes) -> dict[str, Any]:
     body = json.loads(data) if data else {}
     return body if isinstance(body, dict) else {}
--- a/src/boragespring/platform/settings_file.py
+++ b/src/boragespring/platform/settings_file.py
@@ -40,28 +40,16 @@
     ready: str
 
 
-@frozen
-class _WireLimits:
-    memory_mb: int = 128
-
-
 @frozen
 class _WireBounds:
-    # Time without disturbance until the bounds hold for a machine again.
-    contact_ms: float = 3000.0
     configuration_ms: float = 2000.0
-    # Added to the bound of configuration while the store is disturbed.
-    outer_ms: float = 5000.0
     # Whether a key may no longer be served when its removal cannot be heard.
     strict_revocation: bool = False
     revocation_ms: float = 5000.0
-    drain_ms: float = 2000.0
     grace_s: float = 8.0
-    loss_slack_ms: float = 200.0
     budget_ratio: float = 0.2
     budget_window_s: float = 10.0
     budget_slack: float = 50.0
-    pass_ms: float = 120.0
 
 
 @frozen
@@ -82,7 +70,6 @@
     internal_ports: list[int]
     listen: _WireListen
     platform: _WirePlatform
-    limits: _WireLimits = _WireLimits()
     bounds: _WireBounds = _WireBounds()
     # Addresses at which a few machines serve operators; their ports for links
     # are the same as here.
@@ -133,7 +120,6 @@
             AddressSettings(seed.rpartition(":")[0], wire.internal_ports[0])
             for seed in wire.seeds or ()
         ),
-        memory_mb=wire.limits.memory_mb,
     )
 
 
@@ -147,17 +133,12 @@
 
 def _bounds(wire: _WireBounds) -> GatewayBounds:
     return GatewayBounds(
-        contact_s=wire.contact_ms / 1000,
         catalog_delay_s=wire.configuration_ms / 1000,
-        catalog_delay_outage_s=wire.outer_ms / 1000,
         revocation_age_max_s=(
             wire.revocation_ms / 1000 if wire.strict_revocation else float("inf")
         ),
-        leaving_delay_s=wire.drain_ms / 1000,
         stop_grace_s=wire.grace_s,
-        stop_read_s=wire.loss_slack_ms / 1000,
         retry_ratio=wire.budget_ratio,
         retry_slack=wire.budget_slack,
         retry_window_s=wire.budget_window_s,
-        relay_delay_s=wire.pass_ms / 1000,
     )
--- a/src/boragespring/platform/tests/test_settings_file.py
+++ b/src/boragespring/platform/tests/test_settings_file.py
@@ -21,7 +21,8 @@
 [limits]
 memory_mb = 150
 [bounds]
-drain_ms = 1500
+configuration_ms = 1500
+grace_s = 9
 strict_revocation = true
 revocation_ms = 4000
 [platform]
@@ -47,7 +48,7 @@
     assert settings.peers.port == 7200
     assert [seed.host for seed in settings.seeds] == ["10.1.0.19", "10.2.0.13"]
     assert settings.store.url == "http://10.200.1.7:8742"
-    assert settings.bounds.leaving_delay_s == 1.5
+    assert settings.bounds.catalog_delay_s == 1.5
     assert settings.bounds.revocation_age_max_s == 4.0
 
 
@@ -61,7 +62,11 @@
     ("before", "after", "named"),
     [
         ('node = "front-1"', "", "node"),
-        ("drain_ms = 1500", 'drain_ms = "soon"', "bounds.drain_ms"),
+        (
+            "configuration_ms = 1500",
+            'configuration_ms = "soon"',
+            "bounds.configuration_ms",
+        ),
         ("[7200, 7215]", "[]", "internal_ports"),
         ('front = "10.1.0.19:8740"', 'front = "nowhere"', "listen.front"),
         ('node = "front-1"', "node = ", "local.toml"),
@@ -81,7 +86,7 @@
 def test_the_check_command_knows_the_file(write):
     path = write(GOOD)
     assert CliRunner().invoke(app, ["check", str(path)]).exit_code == 0
-    wrong = write(GOOD.replace("drain_ms = 1500", 'drain_ms = "soon"'))
+    wrong = write(GOOD.replace("configuration_ms = 1500", 'configuration_ms = "soon"'))
     found = CliRunner().invoke(app, ["check", str(wrong)])
     assert found.exit_code == 1
-    assert "bounds.drain_ms" in found.output
+    assert "bounds.configuration_ms" in found.output
