--- a/src/boragespring/forwarding/__init__.py
+++ b/src/boragespring/forwarding/__init__.py
@@ -25,8 +25,9 @@
     RunCopy,
     ServerReply,
 )
+from boragespring.forwarding.moves import RelocationSettings
 from boragespring.forwarding.placement import PlacementSettings
-from boragespring.forwarding.relocation import Relocations, RelocationSettings
+from boragespring.forwarding.relocation import Relocations
 from boragespring.forwarding.retry_budget import RetryBudget, RetryBudgetSettings
 from boragespring.forwarding.streamed import StreamForwarder, StreamSettings
 from boragespring.forwarding.whole import WholeForwarder, WholeSettings
--- /dev/null
+++ b/src/boragespring/forwarding/carrier.py
@@ -0,0 +1,107 @@
+"""Carry the events of a stream from its server, or its next one, to the caller."""
+
+import asyncio
+
+from boragespring.forwarding.context import ForwardingContext
+from boragespring.forwarding.errors import ReplyBrokenError, ReplyLostError
+from boragespring.forwarding.events import EventSplitter
+from boragespring.forwarding.messages import CallerReply, ResumePoint, ServerReply
+from boragespring.forwarding.running import Handover, RunningStream
+
+__all__ = ["StreamCarrier"]
+
+
+class StreamCarrier:
+    """Carry the events of one stream over the moves of its run.
+
+    Parameters
+    ----------
+    context : ForwardingContext
+        Fleet, calls and log.
+    stream : RunningStream
+        The stream.
+    caller : CallerReply
+        Where events go.
+    handover_wait_s : float
+        Longest wait for the end of a move after the stream has stopped.
+    """
+
+    def __init__(
+        self,
+        context: ForwardingContext,
+        stream: RunningStream,
+        caller: CallerReply,
+        handover_wait_s: float,
+    ) -> None:
+        self._context = context
+        self._handover_wait_s = handover_wait_s
+        self._stream = stream
+        self._caller = caller
+        self._reply: ServerReply | None = None
+
+    async def carry(self, reply: ServerReply) -> str:
+        """Carry until the end; return an empty text, or why it was cut."""
+        while True:
+            self._reply = reply
+            try:
+                await self._pump(reply)
+                return ""
+            except ReplyBrokenError as error:
+                broken = str(error)
+            reply.close()
+            handover = await self._wait_handover()
+            if handover is None:
+                self._context.fleet.note_failure(self._stream.server, broken)
+                return broken
+            reply = await self._resume(handover)
+
+    def close(self) -> None:
+        """End the run at its server unless it has ended."""
+        if self._reply is not None:
+            self._reply.close()
+        stream = self._stream
+        self._context.fleet.run_ended(stream.server, stream.job.request_id)
+
+    async def _pump(self, reply: ServerReply) -> None:
+        splitter = EventSplitter()
+        async for chunk in reply.chunks():
+            for event in splitter.feed(chunk):
+                if self._stream.note_event(event.event_id):
+                    await self._caller.write(event.data)
+        if splitter.rest:
+            # A reply that ended properly is passed on to the last byte.
+            await self._caller.write(splitter.rest)
+
+    async def _wait_handover(self) -> Handover | None:
+        pending = self._stream.handover
+        if pending is None:
+            return None
+        try:
+            async with asyncio.timeout(self._handover_wait_s):
+                return await asyncio.shield(pending)
+        except TimeoutError:
+            return None
+
+    async def _resume(self, handover: Handover) -> ServerReply:
+        stream = self._stream
+        job = stream.job
+        point = ResumePoint(
+            handover.source.address, handover.copy_id, stream.last_event_id
+        )
+        self._context.fleet.run_ended(stream.server, job.request_id)
+        stream.moved_to(handover.target)
+        handover.target.runs[job.request_id] = stream.load
+        reply = await self._context.calls.send(handover.target, job.attempt(point))
+        head = reply.head
+        self._context.log.request(
+            "resumed",
+            job.request_id,
+            source=handover.source.server_id,
+            target=handover.target.server_id,
+            after_event=stream.last_event_id,
+            status=head.status,
+        )
+        if not head.is_success or head.was_not_run:
+            reply.close()
+            raise ReplyLostError(f"status {head.status} where the run should go on")
+        return reply
--- a/src/boragespring/forwarding/forwarder.py
+++ b/src/boragespring/forwarding/forwarder.py
@@ -81,6 +81,7 @@
             was_not_run=refusal.was_not_run,
             retry_after_s=refusal.retry_after_s,
             route=job.route.name if job else "",
+            kind=job.route.kind.value if job else "",
             held_s=round(time.monotonic() - request.arrived_at_s, 3),
         )
         self._count(request, job, refusal.reason.value)
@@ -101,6 +102,7 @@
             job.request_id,
             outcome=outcome,
             route=job.route.name,
+            kind=job.route.kind.value,
             workspace=job.workspace,
             took_s=round(time.monotonic() - job.request.arrived_at_s, 3),
             **inputs,
--- /dev/null
+++ b/src/boragespring/forwarding/moves.py
@@ -0,0 +1,71 @@
+"""What the move of a run costs, and what it is worth."""
+
+from attrs import frozen
+
+from boragespring.catalog import EngineProfile
+from boragespring.forwarding.running import RunningStream
+
+__all__ = ["RelocationSettings", "copy_time_s", "value_of"]
+
+
+@frozen
+class RelocationSettings:
+    """How runs are moved.
+
+    Parameters
+    ----------
+    notice_s : float
+        Time between the word that a server leaves and its end.
+    small_copy_s : float
+        A copy that took less is followed by the last one, which stops the run.
+    copies_max : int
+        Most copies before the last one.
+    announce_wait_s : float
+        Time for the announcements of other gateways to arrive.
+    turn_pause_s : float
+        Pause between two looks at whose turn it is.
+    lost_pause_s : float
+        Pause after a server did not answer.
+    turn_slack_s : float
+        Time beyond its copy that a run may take before others no longer wait.
+    token_interval_s : float
+        Usual time between two tokens.
+    ask_pause_s : float
+        Pause before a server is asked again when it ends.
+    report_age_s : float
+        Age that a report may have when it arrives.
+    zone_factor : float
+        How much longer a copy to another availability zone takes.
+    zone_penalty_s : float
+        Cost of a copy to another availability zone, which takes the link's time
+        from other runs.
+    output_value : float
+        Value of a generated token against one of the prompt.
+    """
+
+    notice_s: float = 1.6
+    small_copy_s: float = 0.6
+    copies_max: int = 3
+    announce_wait_s: float = 0.012
+    turn_pause_s: float = 0.005
+    lost_pause_s: float = 0.1
+    turn_slack_s: float = 0.3
+    token_interval_s: float = 0.009
+    ask_pause_s: float = 0.25
+    report_age_s: float = 0.55
+    zone_factor: float = 2.0
+    zone_penalty_s: float = 0.6
+    output_value: float = 10.0
+
+
+def copy_time_s(memory_tokens: float, engine: EngineProfile) -> float:
+    """Return how long a copy within the availability zone takes."""
+    if engine.link_mbps <= 0:
+        return 0.0
+    return memory_tokens * engine.token_bytes * 8 / (engine.link_mbps * 1e6)
+
+
+def value_of(stream: RunningStream, settings: RelocationSettings) -> float:
+    """Return what a caller loses with a stream: longer answers are worth more."""
+    output_tokens = max(stream.load.output_tokens, stream.load.produced_tokens)
+    return stream.load.prompt_tokens + settings.output_value * output_tokens
