--- a/src/boragespring/composition/gateway.py
+++ b/src/boragespring/composition/gateway.py
@@ -155,7 +155,7 @@
         ),
         upkeep=(fleet.drop_lapsed, loads.drop_outdated, set_watch_wait),
         leave_hooks=(loads.leave,),
-        closers=(presence.withdraw, store.close, calls.close),
+        closers=(presence.withdraw, peers.close, store.close, calls.close),
         gate=gate,
         settings=settings,
         log=log,
@@ -231,6 +231,10 @@
         found = (self.entries.link_to(one.name) for one in self.entries.entries)
         return [link for link in found if link is not None]
 
+    async def close(self) -> None:
+        """Dial no more, and close the links that were dialled."""
+        self.entries.stop()
+
     def count(self) -> int:
         """Return the number of gateways, this one included."""
         return max(1, len(self.entries.entries))
