--- a/src/boragespring/composition/gateway.py
+++ b/src/boragespring/composition/gateway.py
@@ -2,6 +2,8 @@
 
 import time
 from collections.abc import Iterable, Sequence
+from functools import partial
+from typing import Any
 
 import xxhash
 from aiohttp import web
@@ -155,6 +157,7 @@
         ),
         upkeep=(fleet.drop_lapsed, loads.drop_outdated, set_watch_wait),
         leave_hooks=(loads.leave,),
+        status=partial(_status, holder, fleet),
         closers=(presence.withdraw, peers.close, store.close, calls.close),
         gate=gate,
         settings=settings,
@@ -163,7 +166,7 @@
     _add_gauges(metrics, holder, fleet, follower, peers)
     gateway.listeners += [
         ReadinessServer(settings.readiness, gateway.why_not_ready),
-        AdminServer(settings.metrics, _admin_app(registry, gateway, fleet, holder)),
+        AdminServer(settings.metrics, _admin_app(registry, gateway)),
     ]
     return gateway
 
@@ -195,29 +198,28 @@
     )
 
 
-def _admin_app(
-    registry: CollectorRegistry, gateway: Gateway, fleet: Fleet, holder: CatalogHolder
-) -> web.Application:
-    def status() -> dict[str, object]:
-        return {
-            "catalog_version": holder.catalog.version if holder.catalog else 0,
-            "servers": [
-                {
-                    "server": server.server_id,
-                    "service": server.registration.service,
-                    "is_leaving": server.is_leaving,
-                    "runs": len(server.runs),
-                    "runs_of_peers": server.open_runs - len(server.runs),
-                }
-                for server in fleet.servers
-            ],
-        }
-
+def _admin_app(registry: CollectorRegistry, gateway: Gateway) -> web.Application:
     app = web.Application()
-    app.add_routes(admin_routes(registry, gateway.why_not_ready, status))
+    app.add_routes(admin_routes(registry, gateway.why_not_ready, gateway.status))
     return app
 
 
+def _status(holder: CatalogHolder, fleet: Fleet) -> dict[str, Any]:
+    return {
+        "catalog_version": holder.catalog.version if holder.catalog else 0,
+        "servers": [
+            {
+                "server": server.server_id,
+                "service": server.registration.service,
+                "is_leaving": server.is_leaving,
+                "runs": len(server.runs),
+                "runs_of_peers": server.open_runs - len(server.runs),
+            }
+            for server in fleet.servers
+        ],
+    }
+
+
 @frozen
 class _Peers:
     """Links to the other gateways."""
--- a/src/boragespring/forwarding/relocation.py
+++ b/src/boragespring/forwarding/relocation.py
@@ -73,12 +73,17 @@
         run_id = stream.job.request_id
         self._streams.pop(run_id, None)
         self._end(stream.server.server_id, run_id)
+        self._drop_target(stream)
 
     def take_peer_runs(self, server_id: str, runs: Iterable[LeavingRun]) -> None:
         """Take in the runs that another gateway moves off a server."""
         server = self._context.fleet.find(server_id)
-        if server is not None and server.runs:
-            self._evacuation(server_id).add(runs)
+        if server is None:
+            return
+        self._context.fleet.mark_leaving(server, "told by another gateway")
+        evacuation = self._evacuations.get(server_id)
+        if evacuation is not None:
+            evacuation.add(runs)
 
     def take_peer_end(self, server_id: str, run_id: str) -> None:
         """Note that another gateway's run no longer needs the server's link."""
@@ -86,15 +91,11 @@
         if evacuation is not None:
             evacuation.end(run_id)
 
-    def _evacuation(self, server_id: str) -> Evacuation:
-        known = self._evacuations.get(server_id)
-        if known is None:
-            known = Evacuation(
-                ends_at_s=time.monotonic() + self._settings.notice_s,
-                turn_slack_s=self._settings.turn_slack_s,
-            )
-            self._evacuations[server_id] = known
-        return known
+    def _drop_target(self, stream: RunningStream) -> None:
+        """Let the target of a move that came to nothing count the run no more."""
+        target, stream.target = stream.target, None
+        if target is not None:
+            self._context.fleet.run_ended(target, stream.job.request_id)
 
     def _copy_s_per_token(self, server: BackendServer, engine: EngineProfile) -> float:
         """Return the time of a token's copy to the nearest possible target."""
@@ -134,7 +135,12 @@
         has_streams = any(one.server is server for one in self._streams.values())
         if server.server_id in self._tasks or not has_streams:
             return
-        task = asyncio.create_task(self._evacuate(server))
+        evacuation = Evacuation(
+            ends_at_s=time.monotonic() + self._settings.notice_s,
+            turn_slack_s=self._settings.turn_slack_s,
+        )
+        self._evacuations[server.server_id] = evacuation
+        task = asyncio.create_task(self._evacuate(server, evacuation))
         self._tasks[server.server_id] = task
         task.add_done_callback(lambda _: self._forget(server.server_id))
 
@@ -142,9 +148,8 @@
         self._tasks.pop(server_id, None)
         self._evacuations.pop(server_id, None)
 
-    async def _evacuate(self, server: BackendServer) -> None:
+    async def _evacuate(self, server: BackendServer, evacuation: Evacuation) -> None:
         """Move the runs of a server, in turn with other gateways."""
-        evacuation = self._evacuation(server.server_id)
         asking = asyncio.create_task(self._ask_for_end(server, evacuation))
         self._asking.add(asking)
         asking.add_done_callback(self._asking.discard)
@@ -205,13 +210,14 @@
             return False
         # The target counts the run from now on, here and at other gateways.
         target.runs[run_id] = stream.load
+        stream.target = target
         self._context.tell_loads()
         started_s = time.monotonic()
         try:
             copies = await self._copy_while_running(stream, target)
             await self._hand_over(stream, target)
         except ForwardingError as error:
-            self._context.fleet.run_ended(target, run_id)
+            self._drop_target(stream)
             self._note_failure(stream, target, error)
             if isinstance(error, ServerUnreachableError | ReplyLostError):
                 # The server has ended, or a copy to the target hangs.
--- a/src/boragespring/forwarding/running.py
+++ b/src/boragespring/forwarding/running.py
@@ -31,6 +31,8 @@
         The request.
     server : BackendServer
         Server that runs it now.
+    target : BackendServer or None
+        Server that the run is being moved to; it counts the run already.
     refused_by : set of str
         Servers that had no room for it since it last moved.
     """
@@ -41,6 +43,7 @@
     events: int = 0
     moves: int = 0
     handover: asyncio.Future[Handover | None] | None = None
+    target: BackendServer | None = None
     refused_by: set[str] = field(factory=set)
     first_event_at_s: float = float("inf")
     longest_pause_s: float = 0.0
@@ -94,6 +97,7 @@
     def moved_to(self, target: BackendServer) -> None:
         """Note that the run goes on elsewhere."""
         self.server = target
+        self.target = None
         self.handover = None
         self.refused_by.clear()
         self.moves += 1
--- a/src/boragespring/gateway/daemon.py
+++ b/src/boragespring/gateway/daemon.py
@@ -3,7 +3,7 @@
 import asyncio
 import time
 from collections.abc import Awaitable, Callable, Coroutine, Sequence
-from typing import Protocol
+from typing import Any, Protocol
 
 import attrs
 from attrs import define, field
@@ -60,6 +60,8 @@
         Short work that is due from time to time.
     leave_hooks : sequence of callable
         What is called at the begin of a stop.
+    status : callable
+        Returns what the status page shows.
     closers : sequence of callable
         What is closed at the end.
     gate : JobGate
@@ -75,6 +77,7 @@
     loops: Sequence[Callable[[], Coroutine[None, None, None]]]
     upkeep: Sequence[Callable[[], None]]
     leave_hooks: Sequence[Callable[[], None]]
+    status: Callable[[], dict[str, Any]]
     closers: Sequence[Callable[[], Awaitable[None]]]
     gate: JobGate
     settings: GatewaySettings
--- a/src/boragespring/platform/emulator/engine.py
+++ b/src/boragespring/platform/emulator/engine.py
@@ -33,6 +33,8 @@
         Tokens that one event holds.
     copy_s_per_token : float
         Time that the copy of a token takes.
+    handover_s : float
+        Time that the copy which stops a run takes beyond its tokens.
     report_age_s : float
         Age of reports.
     """
@@ -43,6 +45,7 @@
     event_s: float = 0.02
     tokens_per_event: int = 4
     copy_s_per_token: float = 0.00002
+    handover_s: float = 0.0
     report_age_s: float = 0.0
 
 
@@ -165,7 +168,8 @@
         known = target.copies.get(run.run_id)
         fresh = run.tokens(self.spec) - (known.run.tokens(self.spec) if known else 0)
         async with self._link:
-            await asyncio.sleep(fresh * self.spec.copy_s_per_token)
+            extra_s = self.spec.handover_s if body.get("last") else 0.0
+            await asyncio.sleep(fresh * self.spec.copy_s_per_token + extra_s)
         copied = _Run(run.run_id, run.prompt_tokens, run.events_max, run.events)
         copy_id = known.copy_id if known else f"c{next(self._copy_ids)}"
         target.copies[run.run_id] = _Copy(copy_id, copied)
--- a/src/boragespring/platform/tests/test_forwarding_streams.py
+++ b/src/boragespring/platform/tests/test_forwarding_streams.py
@@ -119,6 +119,31 @@
         await until(lambda: not engine.runs, timeout_s=0.5)
 
 
+async def test_a_caller_that_leaves_in_a_move_leaves_no_load_behind(session):
+    # The first copy takes 0.1 s and the last one 0.3 s: in that the caller leaves.
+    spec = EngineSpec(copy_s_per_token=0.0001, handover_s=0.3)
+    async with deployment(engines=2, gateways=2, engine_spec=spec) as platform:
+        response = await draft(session, platform.gateways[0], "s1")
+        await until(lambda: _all_started(platform))
+        await asyncio.sleep(0.1)
+        leaving = next(one for one in platform.engines.values() if one.runs)
+        end = platform.reclaim(leaving.server_id, notice_s=1.0)
+        await asyncio.sleep(0.3)
+        response.close()
+        await end
+        await until(lambda: not _loads(platform), timeout_s=3.0)
+
+
+def _loads(platform):
+    """Return the runs that gateways count at servers that take requests."""
+    return [
+        line
+        for process in platform.gateways
+        for line in process.gateway.status()["servers"]
+        if not line["is_leaving"] and (line["runs"] or line["runs_of_peers"])
+    ]
+
+
 def _all_started(platform):
     return [run for engine in platform.engines.values() for run in engine.started]
 
