--- a/src/boragespring/forwarding/running.py
+++ b/src/boragespring/forwarding/running.py
@@ -31,6 +31,8 @@
         The request.
     server : BackendServer
         Server that runs it now.
+    load : RunLoad
+        Its load there, as the dispatch has entered it.
     target : BackendServer or None
         Server that the run is being moved to; it counts the run already.
     refused_by : set of str
@@ -39,6 +41,7 @@
 
     job: Job
     server: BackendServer
+    load: RunLoad
     last_event_id: str = ""
     events: int = 0
     moves: int = 0
@@ -48,11 +51,6 @@
     first_event_at_s: float = float("inf")
     longest_pause_s: float = 0.0
     _last_event_at_s: float = float("inf")
-    load: RunLoad = field(init=False)
-
-    def __attrs_post_init__(self) -> None:
-        """Take over the load that the dispatch has entered."""
-        self.load = self.server.runs[self.job.request_id]
 
     @property
     def tokens_per_event(self) -> int:
--- a/src/boragespring/forwarding/streamed.py
+++ b/src/boragespring/forwarding/streamed.py
@@ -100,6 +100,7 @@
     """Reply that has begun at a server."""
 
     server: BackendServer
+    load: RunLoad
     reply: ServerReply
 
 
@@ -208,9 +209,8 @@
     async def _send(self, job: Job, server: BackendServer) -> _Opened | Refusal | str:
         """Send to one server; a text says why it surely did not run there."""
         prompt = job.request.prompt or _NO_PROMPT
-        server.runs[job.request_id] = RunLoad(
-            prompt.prompt_tokens, prompt.output_tokens, time.monotonic()
-        )
+        load = RunLoad(prompt.prompt_tokens, prompt.output_tokens, time.monotonic())
+        server.runs[job.request_id] = load
         self._context.tell_loads()
         is_open = False
         try:
@@ -224,7 +224,7 @@
                 self._context.fleet.note_failure(server, "reply to another request")
                 return Refusal(RefusalReason.REPLY_LOST, was_not_run=False)
             is_open = True
-            return _Opened(server, reply)
+            return _Opened(server, load, reply)
         except ServerUnreachableError as error:
             self._context.fleet.note_failure(server, str(error), is_certain=True)
             return f"unreachable: {error}"
@@ -263,7 +263,7 @@
             opened.reply.close()
             self._context.fleet.run_ended(opened.server, job.request_id)
             return Refusal(RefusalReason.REPLY_LOST, was_not_run=False)
-        stream = RunningStream(job, opened.server)
+        stream = RunningStream(job, opened.server, opened.load)
         wait_s = self._settings.handover_wait_s
         carrier = StreamCarrier(self._context, stream, caller, wait_s)
         self._relocations.add(stream)
--- a/src/boragespring/platform/tests/test_forwarding_streams.py
+++ b/src/boragespring/platform/tests/test_forwarding_streams.py
@@ -96,6 +96,20 @@
         assert len(_all_started(platform)) == 1
 
 
+async def test_the_same_id_twice_at_once_ends_both(session):
+    async with deployment(engines=1) as platform:
+        process = platform.gateways[0]
+        # The short one ends while the other's prompt is still read.
+        calls = [
+            asyncio.create_task(_status_and_ids(session, process, "same", shape))
+            for shape in (prompt(28_000, 40), prompt(10, 4))
+        ]
+        for status, ids in await asyncio.gather(*calls):
+            assert status == 200
+            assert ids == list(range(1, len(ids) + 1))
+        await until(lambda: not _loads(platform))
+
+
 async def test_a_full_server_refuses_and_another_one_runs(session):
     spec = EngineSpec(slots=1)
     async with deployment(engines=2, engine_spec=spec) as platform:
@@ -134,6 +148,11 @@
         await until(lambda: not _loads(platform), timeout_s=3.0)
 
 
+async def _status_and_ids(session, process, request_id, shape):
+    async with draft(session, process, request_id, shape) as response:
+        return response.status, await read_events(response)
+
+
 def _loads(platform):
     """Return the runs that gateways count at servers that take requests."""
     return [
