--- a/src/boragespring/forwarding/errors.py
+++ b/src/boragespring/forwarding/errors.py
@@ -3,7 +3,6 @@
 from boragespring.errors import BoragespringError
 
 __all__ = [
-    "CallerGoneError",
     "CopyRefusedError",
     "ForwardingError",
     "ReplyBrokenError",
@@ -47,7 +46,3 @@
     def __init__(self, message: str, copy_id: str = "") -> None:
         super().__init__(message)
         self.copy_id = copy_id
-
-
-class CallerGoneError(ForwardingError):
-    """The caller has closed its connection."""
--- a/src/boragespring/gateway/daemon.py
+++ b/src/boragespring/gateway/daemon.py
@@ -96,7 +96,8 @@
     def apply(self, settings: GatewaySettings) -> None:
         """Put new settings in force.
 
-        Addresses and the store are those of the start; the bounds change.
+        Only the grace of a stop is taken over; addresses, the store and the
+        other bounds stay those of the start, and the log names what differs.
         """
         before = attrs.asdict(self.settings)
         changed = [
