Read a claim again when its agent can no longer be asked

A repeat at another entry that had read the claim before, and asked the agent as it closed its links, got a reset connection and was told outcome_unknown although the outcome was in the store. Change: before outcome_unknown is told, and before a wait for an agent without a link, the claim is read again; a changed claim is followed. Test: test_a_repeat_gets_the_stored_outcome_of_an_agent_that_stopped (504 before). Conclusion: the stop of the agent was right; the reader was one read short.

--- a/src/boragespring/claims/calls.py
+++ b/src/boragespring/claims/calls.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
+from absl import logging
 from attrs import define, frozen
 
 from boragespring.answers import NotRunError, OutcomeUnknownError, RequestRunner
@@ -226,6 +227,11 @@
         """Read a claim."""
         return await self._store.find(request.key)
 
+    def is_linked(self, record: ClaimRecord) -> bool:
+        """Return whether the agent that a claim names has an open link."""
+        peer = self._find(record.agent_name)
+        return peer is not None and peer.link is not None
+
     async def ask(self, record: ClaimRecord, request: _Request) -> ClaimReply:
         """Ask the agent that a claim names.
 
@@ -319,8 +325,18 @@
     async def _ask_until_settled(
         self, claim: StoredClaim, record: ClaimRecord
     ) -> ServiceAnswered | None:
+        if not self._calls.is_linked(record):
+            newer = await self._newer(claim)
+            if newer is not None:
+                return await self._join(newer)
         while self._request.time_left_s() > 0:
-            reply = await self._calls.ask(record, self._request)
+            try:
+                reply = await self._calls.ask(record, self._request)
+            except OutcomeUnknownError:
+                newer = await self._newer(claim)
+                if newer is None:
+                    raise
+                return await self._join(newer)
             match reply.state:
                 case RunState.FINISHED:
                     answer = ServiceAnswered(
@@ -331,12 +347,25 @@
                 case RunState.NEVER:
                     return None
                 case RunState.UNKNOWN | RunState.GONE:
+                    newer = await self._newer(claim)
+                    if newer is not None:
+                        return await self._join(newer)
                     self._calls.record_unknown(self._request, claim)
                     raise OutcomeUnknownError(
                         "the agent was lost while the request may have run"
                     )
         raise OutcomeUnknownError("the request still runs at its deadline")
 
+    async def _newer(self, claim: StoredClaim) -> StoredClaim | None:
+        """Return the claim if it changed; an agent stops once its outcome is stored."""
+        try:
+            newer = await self._calls.look(self._request)
+        except ClaimStoreError as error:
+            # Not to be taken for a request that was not sent.
+            logging.info("event=claim_not_read_again reason=%r", str(error))
+            return None
+        return newer if newer.revision != claim.revision else None
+
     async def _without_server(self) -> ServiceAnswered:
         """Answer a repeat although no server takes work; refuse others."""
         claim = await self._calls.look(self._request)
--- a/src/boragespring/claims/tests/test_once.py
+++ b/src/boragespring/claims/tests/test_once.py
@@ -6,7 +6,7 @@
 import pytest
 
 from boragespring.answers.messages import SubmitCall
-from boragespring.claims import RunOnceMemory, Spent
+from boragespring.claims import ClaimedCalls, RunOnceMemory, Spent
 from boragespring.claims.record import claim_key, digest_of, new_record
 from boragespring.faults import FaultDeployment
 from boragespring.local import LOCAL_API_KEY
@@ -96,6 +96,38 @@
     assert len(runs(deployment)) == 1
 
 
+@pytest.mark.parametrize("is_replaced", [False, True])
+async def test_a_repeat_gets_the_stored_outcome_of_an_agent_that_stopped(
+    deployment, session, monkeypatch, is_replaced
+):
+    """The agent drains between the repeat's read of the claim and its question."""
+    for service in deployment.services:
+        service.faults.latency_s = 0.3
+    first = asyncio.create_task(post(session, url(deployment, 0)))
+    while not runs(deployment):
+        await asyncio.sleep(0.01)
+    number = next(n for n, s in enumerate(deployment.services) if s.ledger)
+    name = f"service-{number}"
+    ask = ClaimedCalls.ask
+    test_loop = asyncio.get_running_loop()
+
+    async def stop_agent():
+        await first
+        await deployment.hosted_agents[name].drain()
+        if is_replaced:
+            await deployment.replace_agent(name)
+
+    async def ask_late(self, record, request):
+        stopping = asyncio.run_coroutine_threadsafe(stop_agent(), test_loop)
+        await asyncio.wrap_future(stopping)
+        return await ask(self, record, request)
+
+    monkeypatch.setattr(ClaimedCalls, "ask", ask_late)
+    repeat = await post(session, url(deployment, 1))
+    assert repeat == await first
+    assert (repeat[0], len(runs(deployment))) == (200, 1)
+
+
 async def test_a_claim_that_was_never_dispatched_is_taken_over(deployment, session):
     """As after an entry died between its claim and its submit."""
     agent = deployment.hosted_agents["service-0"].daemon
