Let a listed entry use its floor while a new holder of limits learns

Change: until the holder knows all shares an entry keeps what it holds, and what is set aside for the asker is free for it.

--- a/src/boragespring/limits/book.py
+++ b/src/boragespring/limits/book.py
@@ -151,24 +151,28 @@
         self._drop_expired()
         self._note_floors(plan, entries, present)
         before = self._remove(entry)
-        free = plan - self._reserved_total - self._floors_total
+        floor = self._floors.get(entry, NO_SHARE)
+        # What is set aside for the asking entry itself is free for it.
+        own_part = NO_SHARE if entry in present else floor
+        free = plan - self._reserved_total - self._floors_total + own_part
         wanted = ask.wanted.least(plan).most(NO_SHARE)
         held = ask.held.most(Share(concurrency=ask.running))
         self._add(entry, held, wanted)
         if before is None or wanted.exceeds(before.wanted):
             self._levels.valid_until_s = float("-inf")
-        levels = self._level()
-        share = wanted.least(levels.share)
-        # What nobody wants lets each entry have up to its floor at hand.
-        floor = self._floors.get(entry, NO_SHARE)
-        share = share.most(floor.least(share + levels.spare))
+        # An entry keeps by right what it holds; the level is not known yet.
+        share = ask.held if is_quiet else self._levelled(wanted, floor)
         share = share.least(free).most(NO_SHARE)
-        if is_quiet:
-            share = share.least(ask.held)
         self._remove(entry)
         self._add(entry, held.most(share), wanted)
         return share
 
+    def _levelled(self, wanted: Share, floor: Share) -> Share:
+        levels = self._level()
+        share = wanted.least(levels.share)
+        # What nobody wants lets each entry have up to its floor at hand.
+        return share.most(floor.least(share + levels.spare))
+
     def release(self, entry: str) -> None:
         """Forget the share of an entry that has ended its use."""
         self._remove(entry)
--- a/src/boragespring/limits/tests/test_limits.py
+++ b/src/boragespring/limits/tests/test_limits.py
@@ -249,3 +249,15 @@
         await fleet.stop()
 
     run_in_virtual_time(main())
+
+
+def test_a_fresh_entry_may_use_its_floor_while_a_listed_one_does_not_answer():
+    async def main():
+        limits = PlanLimits(concurrency=12, requests_per_s=1e4, request_burst=100)
+        fleet = LimitFleet(2, limits, ONE)
+        await fleet.nodes.pop("e1").stop()
+        await asyncio.sleep(0.5)
+        assert await admitted(fleet.nodes["e0"].limiter, 6) == 0
+        await fleet.stop()
+
+    run_in_virtual_time(main())
