Give up a turn on the link when no server takes the run

Change: a run tries up to 3 servers in a turn and then lets the others go first (turns are counted and announced); refusals are remembered over all runs, for longer each time; a gateway that does not reach a server tells the others, which see for themselves; where slow copies of all would not fit, near servers are preferred more strongly. Tests, failing before: a run that fits nowhere keeps no turn from the others; all gateways learn of a crash without the store; turns, refusals and short time in test_evacuation.

--- a/src/boragespring/composition/gateway.py
+++ b/src/boragespring/composition/gateway.py
@@ -134,9 +134,11 @@
         copy_age_s=lambda: time.monotonic() - follower.complete_at_s,
         serves_reports=holder.has_engine,
         tell_leaving=evacuations.tell_leaving,
+        tell_unreachable=evacuations.tell_unreachable,
         log=log,
     )
     evacuations.leaving_hooks.append(inspection.take_leaving)
+    evacuations.unreachable_hooks.append(inspection.check)
 
     def set_watch_wait() -> None:
         wait_s = WATCH_WAIT_S_PER_GATEWAY * (1 + len(peers.links()))
--- a/src/boragespring/forwarding/evacuation.py
+++ b/src/boragespring/forwarding/evacuation.py
@@ -28,12 +28,15 @@
         What the caller loses if the run ends with its server.
     ends_in_s : float
         Time in which the run is expected to end by itself.
+    turn : int
+        Turns that it has had in vain; those with fewer go first.
     """
 
     run_id: str
     memory_tokens: int
     value: float
     ends_in_s: float
+    turn: int = 0
 
 
 class TellsEvacuation(Protocol):
@@ -80,20 +83,33 @@
     copy_s_per_token: float = 0.0
     clock: Callable[[], float] = time.monotonic
     _runs: dict[str, LeavingRun] = field(factory=dict)
-    _ended: set[str] = field(factory=set)
+    _ended: dict[str, int] = field(factory=dict)
     _head_id: str = ""
     _head_since_s: float = 0.0
 
     def add(self, runs: Iterable[LeavingRun]) -> None:
-        """Take in runs of this gateway or of another one."""
-        self._runs.update(
-            {run.run_id: run for run in runs if run.run_id not in self._ended}
-        )
+        """Take in runs of this gateway or of another one.
+
+        A run that is announced for a later turn gives up the one it has.
+        """
+        for run in runs:
+            known = self._runs.get(run.run_id)
+            if run.turn <= self._ended.get(run.run_id, -1):
+                continue
+            if known is not None and run.turn < known.turn:
+                continue
+            if known is not None and run.turn > known.turn:
+                self._end_turn(run.run_id)
+            self._runs[run.run_id] = run
 
     def end(self, run_id: str) -> None:
         """Take a run out of the order."""
-        self._ended.add(run_id)
-        self._runs.pop(run_id, None)
+        run = self._runs.pop(run_id, None)
+        self._ended[run_id] = run.turn if run is not None else 0
+
+    def _end_turn(self, run_id: str) -> None:
+        if self._head_id == run_id:
+            self._head_id = ""
 
     def head(self) -> LeavingRun | None:
         """Return the run whose turn it is."""
@@ -113,16 +129,23 @@
             return self.head()
         return run
 
+    def is_short(self, copy_s_per_token: float) -> bool:
+        """Return whether copies at a speed would not be complete in time."""
+        tokens = sum(run.memory_tokens for run in self._runs.values())
+        return tokens * copy_s_per_token > self.ends_at_s - self.clock()
+
     def _copy_s(self, run: LeavingRun) -> float:
         return run.memory_tokens * self.copy_s_per_token
 
-    def _rank(self, run: LeavingRun, left_s: float) -> tuple[bool, float, str]:
+    def _rank(self, run: LeavingRun, left_s: float) -> tuple[int, bool, float, str]:
         """Keep the turn; then most value for each token of those that fit.
 
-        Runs that end by themselves, or whose copy would not be complete before
-        the server ends, come last.
+        Runs that had a turn in vain come after those that had none, and last
+        those that end by themselves, or whose copy would not be complete before
+        the server ends.
         """
         if run.run_id == self._head_id:
-            return False, float("-inf"), run.run_id
+            return -1, False, float("-inf"), run.run_id
         is_late = run.ends_in_s < left_s or self._copy_s(run) > left_s
-        return is_late, -run.value / max(1, run.memory_tokens), run.run_id
+        value_per_token = run.value / max(1, run.memory_tokens)
+        return run.turn, is_late, -value_per_token, run.run_id
--- a/src/boragespring/forwarding/inspection.py
+++ b/src/boragespring/forwarding/inspection.py
@@ -70,6 +70,8 @@
         Returns whether a service's servers give reports.
     tell_leaving : callable
         Tells other gateways that a server leaves.
+    tell_unreachable : callable
+        Tells other gateways that a server was not reached.
     log : DecisionLog
         Where begin and end are told.
     """
@@ -84,6 +86,7 @@
         copy_age_s: Callable[[], float],
         serves_reports: Callable[[str], bool],
         tell_leaving: Callable[[str], None],
+        tell_unreachable: Callable[[str], None],
         log: DecisionLog,
     ) -> None:
         self._fleet = fleet
@@ -94,6 +97,8 @@
         self._copy_age_s = copy_age_s
         self._serves_reports = serves_reports
         self._tell_leaving = tell_leaving
+        self._tell_unreachable = tell_unreachable
+        self._checks: set[asyncio.Task[bool]] = set()
         self._log = log
         self._is_active = False
 
@@ -106,7 +111,7 @@
                 self._is_active = is_active
                 self._log.belief("inspection", is_active=is_active)
             if is_active:
-                await asyncio.gather(*map(self._inspect, self._own_part()))
+                await asyncio.gather(*map(self._inspect_own, self._own_part()))
 
     def take_leaving(self, server_id: str) -> None:
         """Take in that another gateway found a server to be leaving."""
@@ -114,6 +119,23 @@
         if server is not None:
             self._fleet.mark_leaving(server, "told by another gateway")
 
+    def check(self, server_id: str) -> None:
+        """See for itself whether a server that another gateway missed is there.
+
+        The other gateway may be cut off from the server, so that its word alone
+        does not count.
+        """
+        server = self._fleet.find(server_id)
+        if server is None or server.is_leaving or not self._is_active:
+            return
+        check = asyncio.create_task(self._inspect(server))
+        self._checks.add(check)
+        check.add_done_callback(self._checks.discard)
+
+    async def _inspect_own(self, server: BackendServer) -> None:
+        if not await self._inspect(server):
+            self._tell_unreachable(server.server_id)
+
     def _own_part(self) -> list[BackendServer]:
         peer_names = tuple(self._peer_names())
         return [
@@ -124,7 +146,8 @@
             and is_inspector(server.server_id, self._own_name, peer_names)
         ]
 
-    async def _inspect(self, server: BackendServer) -> None:
+    async def _inspect(self, server: BackendServer) -> bool:
+        """Ask a server; return whether it was reached."""
         asked_at_s = time.monotonic()
         try:
             report = await self._calls.fetch_report(server)
@@ -138,10 +161,11 @@
             if isinstance(error, ServerUnreachableError):
                 # Its entry brings it back, once the store tells of it again.
                 self._fleet.mark_leaving(server, f"no report: {error}")
-            else:
-                self._fleet.note_failure(server, f"no report: {error}")
-            return
+                return False
+            self._fleet.note_failure(server, f"no report: {error}")
+            return True
         server.report = report
         if report.is_leaving:
             self._fleet.mark_leaving(server, "its report")
             self._tell_leaving(server.server_id)
+        return True
--- a/src/boragespring/forwarding/moves.py
+++ b/src/boragespring/forwarding/moves.py
@@ -24,8 +24,14 @@
         Time for the announcements of other gateways to arrive.
     turn_pause_s : float
         Pause between two looks at whose turn it is.
-    lost_pause_s : float
-        Pause after a server did not answer.
+    retry_pause_s : float
+        Pause after a turn that came to nothing before the run takes another.
+    refusal_memory_s : float
+        Time for which a server that had no room is not asked again.
+    refusal_memory_max_s : float
+        Longest such time, after several refusals in a row.
+    targets_max : int
+        Most servers that a run asks in one turn.
     turn_slack_s : float
         Time beyond its copy that a run may take before others no longer wait.
     token_interval_s : float
@@ -39,6 +45,8 @@
     zone_penalty_s : float
         Cost of a copy to another availability zone, which takes the link's time
         from other runs.
+    zone_penalty_short_s : float
+        The same where the link has no time for all runs.
     output_value : float
         Value of a generated token against one of the prompt.
     """
@@ -48,13 +56,17 @@
     copies_max: int = 3
     announce_wait_s: float = 0.012
     turn_pause_s: float = 0.005
-    lost_pause_s: float = 0.1
+    retry_pause_s: float = 0.1
+    refusal_memory_s: float = 0.3
+    refusal_memory_max_s: float = 5.0
+    targets_max: int = 3
     turn_slack_s: float = 0.3
     token_interval_s: float = 0.009
     ask_pause_s: float = 0.25
     report_age_s: float = 0.55
     zone_factor: float = 2.0
     zone_penalty_s: float = 0.6
+    zone_penalty_short_s: float = 3.0
     output_value: float = 10.0
 
 
--- a/src/boragespring/forwarding/relocation.py
+++ b/src/boragespring/forwarding/relocation.py
@@ -12,9 +12,7 @@
 from boragespring.forwarding.errors import (
     CopyRefusedError,
     ForwardingError,
-    ReplyLostError,
     RunNotFoundError,
-    ServerUnreachableError,
 )
 from boragespring.forwarding.evacuation import (
     Evacuation,
@@ -30,6 +28,7 @@
     choose_server,
 )
 from boragespring.forwarding.running import Handover, RunningStream
+from boragespring.forwarding.targets import RefusedTargets
 
 __all__ = ["Relocations"]
 
@@ -60,6 +59,9 @@
         self._evacuations: dict[str, Evacuation] = {}
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._asking: set[asyncio.Task[None]] = set()
+        self._refused = RefusedTargets(
+            settings.refusal_memory_s, settings.refusal_memory_max_s
+        )
         context.fleet.leave_hooks.append(self._on_leave)
 
     def add(self, stream: RunningStream) -> None:
@@ -177,12 +179,21 @@
                 evacuation.copy_s_per_token = self._copy_s_per_token(server, engine)
             head = evacuation.head()
             stream = ready.get(head.run_id) if head is not None else None
-            if stream is not None:
-                is_done = await self._move(stream)
-                if is_done:
-                    self._end(server.server_id, stream.job.request_id)
-            else:
+            if head is None or stream is None:
                 await asyncio.sleep(self._settings.turn_pause_s)
+            elif await self._move(stream):
+                self._end(server.server_id, head.run_id)
+            else:
+                self._put_back(evacuation, stream, head)
+
+    def _put_back(
+        self, evacuation: Evacuation, stream: RunningStream, run: LeavingRun
+    ) -> None:
+        """Let the other runs go first after a turn that came to nothing."""
+        again = evolve(run, turn=run.turn + 1)
+        stream.move_after_s = time.monotonic() + self._settings.retry_pause_s
+        evacuation.add([again])
+        self._peers.announce(stream.server.server_id, [again])
 
     def _leaving_run(self, stream: RunningStream) -> LeavingRun:
         return LeavingRun(
@@ -199,15 +210,30 @@
             and engine.can_move
             and stream.is_started
             and stream.handover is None
+            and stream.move_after_s <= time.monotonic()
         )
 
     async def _move(self, stream: RunningStream) -> bool:
         """Move one run; return whether it needs the link no longer."""
+        for _ in range(self._settings.targets_max):
+            target = self._choose_target(stream)
+            if target is None:
+                return False
+            try:
+                await self._move_to(stream, target)
+            except CopyRefusedError as error:
+                self._note_failure(stream, target, error)
+                self._refused.note(target.server_id, stream.memory_tokens)
+            except ForwardingError as error:
+                # The run or its server has ended, or a copy to the target hangs.
+                self._note_failure(stream, target, error)
+                return False
+            else:
+                return True
+        return False
+
+    async def _move_to(self, stream: RunningStream, target: BackendServer) -> None:
         source, run_id = stream.server, stream.job.request_id
-        target = self._choose_target(stream)
-        if target is None:
-            await asyncio.sleep(self._settings.turn_pause_s)
-            return False
         # The target counts the run from now on, here and at other gateways.
         target.runs[run_id] = stream.load
         stream.target = target
@@ -216,15 +242,10 @@
         try:
             copies = await self._copy_while_running(stream, target)
             await self._hand_over(stream, target)
-        except ForwardingError as error:
+        except ForwardingError:
             self._drop_target(stream)
-            self._note_failure(stream, target, error)
-            if isinstance(error, ServerUnreachableError | ReplyLostError):
-                # The server has ended, or a copy to the target hangs.
-                await asyncio.sleep(self._settings.lost_pause_s)
-            else:
-                await asyncio.sleep(self._settings.turn_pause_s)
-            return False
+            raise
+        self._refused.forget(target.server_id)
         self._context.metrics.moved("moved")
         self._context.log.request(
             "moved",
@@ -235,7 +256,6 @@
             copies=copies,
             took_s=round(time.monotonic() - started_s, 3),
         )
-        return True
 
     def _note_failure(
         self, stream: RunningStream, target: BackendServer, error: ForwardingError
@@ -243,7 +263,6 @@
         if isinstance(error, RunNotFoundError):
             # The run has ended meanwhile, or has been preempted and waits.
             return
-        stream.refused_by.add(target.server_id)
         self._context.metrics.moved("failed")
         self._context.log.failure(
             "move_failed",
@@ -309,15 +328,25 @@
         servers = [
             server
             for server in self._context.fleet.candidates(stream.job.service.name)
-            if server is not stream.server and not server.is_suspected(now_s)
+            if server is not stream.server
+            and not server.is_suspected(now_s)
+            and not self._refused.refuses(server.server_id, stream.memory_tokens)
         ]
-        willing = [one for one in servers if one.server_id not in stream.refused_by]
-        if not willing:
-            # All have refused; room may have come free since.
-            stream.refused_by.clear()
-        view = PlacementView(willing or servers, stream.server.availability_zone, now_s)
+        view = PlacementView(servers, stream.server.availability_zone, now_s)
         left = PromptShape(stream.memory_tokens, round(stream.tokens_left))
         placement = evolve(
-            self._context.placement, zone_penalty_s=self._settings.zone_penalty_s
+            self._context.placement,
+            zone_penalty_s=self._zone_penalty_s(stream.server, engine),
         )
         return choose_server(EngineLoad(left, engine), view, placement)
+
+    def _zone_penalty_s(self, source: BackendServer, engine: EngineProfile) -> float:
+        """Return the cost of a copy to another availability zone.
+
+        It is high where such copies of all runs would not be complete in time.
+        """
+        evacuation = self._evacuations.get(source.server_id)
+        token_s = self._settings.zone_factor * copy_time_s(1.0, engine)
+        if evacuation is not None and evacuation.is_short(token_s):
+            return self._settings.zone_penalty_short_s
+        return self._settings.zone_penalty_s
--- a/src/boragespring/forwarding/running.py
+++ b/src/boragespring/forwarding/running.py
@@ -3,7 +3,7 @@
 import asyncio
 import time
 
-from attrs import define, field, frozen
+from attrs import define, frozen
 
 from boragespring.fleet import BackendServer
 from boragespring.fleet.model import RunLoad
@@ -35,8 +35,8 @@
         Its load there, as the dispatch has entered it.
     target : BackendServer or None
         Server that the run is being moved to; it counts the run already.
-    refused_by : set of str
-        Servers that had no room for it since it last moved.
+    move_after_s : float
+        Monotonic time before which no further move is tried.
     """
 
     job: Job
@@ -47,7 +47,7 @@
     moves: int = 0
     handover: asyncio.Future[Handover | None] | None = None
     target: BackendServer | None = None
-    refused_by: set[str] = field(factory=set)
+    move_after_s: float = float("-inf")
     first_event_at_s: float = float("inf")
     longest_pause_s: float = 0.0
     _last_event_at_s: float = float("inf")
@@ -97,7 +97,7 @@
         self.server = target
         self.target = None
         self.handover = None
-        self.refused_by.clear()
+        self.move_after_s = float("-inf")
         self.moves += 1
 
 
--- a/src/boragespring/forwarding/tests/test_evacuation.py
+++ b/src/boragespring/forwarding/tests/test_evacuation.py
@@ -2,7 +2,10 @@
 
 import itertools
 
+from attrs import evolve
+
 from boragespring.forwarding.evacuation import Evacuation, LeavingRun
+from boragespring.forwarding.targets import RefusedTargets
 
 COPY_S = 1e-4
 
@@ -88,3 +91,60 @@
     order.end("moved")
     order.add([run("moved")])
     assert order.head() is None
+
+
+def test_a_turn_in_vain_lets_the_others_go_first():
+    clock = Clock()
+    order = evacuation(clock)
+    order.add([run("best", value=90_000.0), run("other")])
+    assert order.head().run_id == "best"
+    again = evolve(run("best", value=90_000.0), turn=1)
+    order.add([again])
+    assert order.head().run_id == "other"
+    order.add([run("best", value=90_000.0)])
+    assert played(order, clock) == ["other", "best"]
+    order.add([again])
+    assert order.head() is None
+    order.add([evolve(again, turn=2)])
+    assert order.head().run_id == "best"
+
+
+def test_a_full_server_is_asked_again_for_smaller_runs_or_later():
+    clock = Clock()
+    refused = RefusedTargets(0.3, 5.0, clock)
+    refused.note("full", 3000)
+    assert refused.refuses("full", 3000)
+    assert refused.refuses("full", 5000)
+    assert not refused.refuses("full", 2900)
+    assert not refused.refuses("other", 3000)
+    refused.note("full", 4000)
+    assert refused.refuses("full", 3000)
+    clock.now_s += 0.61
+    assert not refused.refuses("full", 5000)
+
+
+def test_a_server_that_refuses_again_and_again_is_asked_ever_less():
+    clock = Clock()
+    refused = RefusedTargets(0.3, 1.0, clock)
+    times_s = []
+    for _ in range(4):
+        refused.note("gone", 100)
+        noted_at_s = clock.now_s
+        while refused.refuses("gone", 100):
+            clock.now_s += 0.05
+        times_s.append(round(clock.now_s - noted_at_s, 1))
+    assert times_s == [0.3, 0.6, 1.0, 1.0]
+    refused.forget("gone")
+    refused.note("gone", 100)
+    clock.now_s += 0.31
+    assert not refused.refuses("gone", 100)
+
+
+def test_time_is_short_where_slow_copies_of_all_do_not_fit():
+    clock = Clock()
+    order = evacuation(clock, left_s=1.0)
+    order.add([run("a", 3000), run("b", 3000)])
+    assert not order.is_short(COPY_S)
+    assert order.is_short(2 * COPY_S)
+    order.end("a")
+    assert not order.is_short(2 * COPY_S)
--- a/src/boragespring/platform/emulator/engine.py
+++ b/src/boragespring/platform/emulator/engine.py
@@ -163,10 +163,12 @@
         target = self.peers.get(body["target"])
         if target is None or target.refuses_copies:
             return web.json_response({}, status=503)
-        if body.get("last"):
-            run.is_stopped = True
         known = target.copies.get(run.run_id)
         fresh = run.tokens(self.spec) - (known.run.tokens(self.spec) if known else 0)
+        if target.used_tokens + fresh > target.spec.memory_tokens:
+            return web.json_response({}, status=503)
+        if body.get("last"):
+            run.is_stopped = True
         async with self._link:
             extra_s = self.spec.handover_s if body.get("last") else 0.0
             await asyncio.sleep(fresh * self.spec.copy_s_per_token + extra_s)
--- a/src/boragespring/platform/tests/test_forwarding_streams.py
+++ b/src/boragespring/platform/tests/test_forwarding_streams.py
@@ -4,6 +4,7 @@
 
 import aiohttp
 import pytest
+from attrs import evolve
 
 from boragespring.platform.emulator import EngineSpec
 from boragespring.platform.tests.support import (
@@ -84,6 +85,32 @@
         assert others[1].seen
 
 
+async def test_a_run_that_fits_nowhere_keeps_no_turn_from_the_others(session):
+    # The copy of each small run takes 0.15 s, that of the large one 0.6 s.
+    spec = EngineSpec(copy_s_per_token=0.0001)
+    async with deployment(engines=1, engine_spec=spec) as platform:
+        process = platform.gateways[0]
+        # Worth most for each token, so that it goes first.
+        large = asyncio.create_task(_read(session, process, "l", prompt(6000, 8000)))
+        await until(lambda: _all_started(platform))
+        await asyncio.sleep(0.1)
+        calls = [
+            asyncio.create_task(_read(session, process, f"s{n}", prompt(1500, 400)))
+            for n in range(3)
+        ]
+        await until(lambda: len(_all_started(platform)) == 4)
+        await asyncio.sleep(0.2)
+        other = await platform.add_engine("engine-1")
+        other.spec = evolve(spec, memory_tokens=6000)
+        await until(lambda: len(process.gateway.status()["servers"]) == 2)
+        end = platform.reclaim("engine-0", notice_s=1.0)
+        results = await asyncio.gather(*calls)
+        await end
+        assert all(events == list(range(1, 101)) for events, _ in results)
+        with pytest.raises(aiohttp.ClientError):
+            await large
+
+
 async def test_a_crash_cuts_the_stream_and_joins_nothing(session):
     async with deployment(engines=2) as platform:
         async with draft(session, platform.gateways[0], "s1") as response:
@@ -168,10 +195,10 @@
     return [run for engine in platform.engines.values() for run in engine.started]
 
 
-async def _read(session, process, request_id):
+async def _read(session, process, request_id, shape=LONG):
     """Return the events of a stream and the longest pause between two."""
     loop = asyncio.get_running_loop()
-    async with draft(session, process, request_id) as response:
+    async with draft(session, process, request_id, shape) as response:
         assert response.status == 200
         body, longest_s, last_s = b"", 0.0, None
         async for chunk in response.content.iter_any():
--- a/src/boragespring/platform/tests/test_outages.py
+++ b/src/boragespring/platform/tests/test_outages.py
@@ -150,6 +150,22 @@
             assert await read_events(response) == list(range(1, 301))
 
 
+async def test_all_gateways_learn_of_a_crash_without_the_store(session):
+    async with deployment(engines=2, gateways=3) as platform:
+        platform.store.mode = StoreMode.SILENT
+        platform.store.keyspace.wake()
+        await until(lambda: all(told(one, "inspection") for one in platform.gateways))
+        await platform.engines["engine-1"].crash()
+        await until(
+            lambda: all(told(one, "server_leaving") for one in platform.gateways)
+        )
+        known = [
+            [line["is_leaving"] for line in one.gateway.status()["servers"]]
+            for one in platform.gateways
+        ]
+        assert all(sorted(states) == [False, True] for states in known)
+
+
 async def test_a_stop_refuses_what_it_would_cut_and_ends_the_rest(session):
     async with deployment(engines=1, services=1, gateways=2) as platform:
         process = platform.gateways[0]
--- a/src/boragespring/sharing/evacuations.py
+++ b/src/boragespring/sharing/evacuations.py
@@ -9,6 +9,7 @@
     LeavingRunEnded,
     LeavingRuns,
     ServerLeaving,
+    ServerUnreachable,
 )
 
 __all__ = ["EvacuationSharing"]
@@ -34,7 +35,9 @@
         self.announce_hooks: list[AnnounceHook] = []
         self.end_hooks: list[EndHook] = []
         self.leaving_hooks: list[LeavingHook] = []
+        self.unreachable_hooks: list[LeavingHook] = []
         dispatcher.on(ServerLeaving, self._take_leaving)
+        dispatcher.on(ServerUnreachable, self._take_unreachable)
         dispatcher.on(LeavingRuns, self._take_runs)
         dispatcher.on(LeavingRunEnded, self._take_end)
 
@@ -46,6 +49,7 @@
                 run.memory_tokens,
                 round(run.value, 3),
                 round(run.ends_in_s * 1000),
+                run.turn,
             ]
             for run in runs
         ]
@@ -59,6 +63,10 @@
         """Tell that a server leaves, which the store may not show."""
         self._send(ServerLeaving(server_id))
 
+    def tell_unreachable(self, server_id: str) -> None:
+        """Tell that a server was not reached, for others to see for themselves."""
+        self._send(ServerUnreachable(server_id))
+
     def _send(self, told: Message) -> None:
         for link in self._links():
             try:
@@ -69,8 +77,14 @@
 
     def _take_runs(self, _: Link, told: LeavingRuns) -> None:
         runs = [
-            LeavingRun(str(row[0]), int(row[1]), float(row[2]), int(row[3]) / 1000)
-            for row in told.runs
+            LeavingRun(
+                run_id=str(run_id),
+                memory_tokens=int(memory_tokens),
+                value=float(value),
+                ends_in_s=int(ends_in_ms) / 1000,
+                turn=int(turn),
+            )
+            for run_id, memory_tokens, value, ends_in_ms, turn in told.runs
         ]
         for hook in self.announce_hooks:
             hook(told.server_id, runs)
@@ -82,3 +96,7 @@
     def _take_leaving(self, _: Link, told: ServerLeaving) -> None:
         for hook in self.leaving_hooks:
             hook(told.server_id)
+
+    def _take_unreachable(self, _: Link, told: ServerUnreachable) -> None:
+        for hook in self.unreachable_hooks:
+            hook(told.server_id)
--- a/src/boragespring/sharing/messages.py
+++ b/src/boragespring/sharing/messages.py
@@ -12,6 +12,7 @@
     "LeavingRuns",
     "ReadCopy",
     "ServerLeaving",
+    "ServerUnreachable",
 ]
 
 
@@ -84,8 +85,9 @@
     server_id : str
         The server.
     runs : list
-        One row for each run: request, memory in tokens, value, and time in
-        milliseconds until it is expected to end by itself.
+        One row for each run: request, memory in tokens, value, time in
+        milliseconds until it is expected to end by itself, and number of turns
+        that it has had in vain.
     """
 
     server_id: str
@@ -105,3 +107,10 @@
     """A server has told a gateway that it leaves."""
 
     server_id: str
+
+
+@message(147)
+class ServerUnreachable:
+    """A gateway that asked a server for its report did not reach it."""
+
+    server_id: str
