End watches in turn, so that an outage of the store is noticed by 1.2 s

Change: after a change of the store each gateway's watch waits for its turn among all, so that copies are confirmed every fifth of the wait; an answer is told to the others at once and confirms equal copies; servers are asked once two turns are missed (1.2 s with five gateways). The limit follows the number of gateways, so that large fleets with long waits do not ask without need. Test: test_watch_turns (2.4 s and more before for any number of gateways).

--- a/src/boragespring/composition/gateway.py
+++ b/src/boragespring/composition/gateway.py
@@ -56,6 +56,7 @@
     LoadSharingSettings,
     Presence,
     PresenceSettings,
+    WatchTurns,
 )
 from boragespring.sharing.presence import PRESENCE_PREFIX
 from boragespring.store import BudgetedStore, BudgetSettings
@@ -71,11 +72,6 @@
 LINKS_MAX = 40
 #: Gateways among which the store's rates are shared.
 STORE_SHARES = 64
-#: Gateways confirm each other's copies of the store: the more there are, the
-#: longer each may wait in its watch. Time for each gateway, and bounds.
-WATCH_WAIT_S_PER_GATEWAY = 0.4
-WATCH_WAIT_MIN_S = 2.0
-WATCH_WAIT_MAX_S = 10.0
 
 
 def build_gateway(settings: GatewaySettings, log: DecisionLog) -> Gateway:
@@ -123,14 +119,19 @@
         }
     )
     follower = PrefixFollower(store, ALL_KEYS, readers, StoreContactLog(log))
-    copies = CopySharing(follower, peers.dispatcher, CopySharingSettings(), log)
+    turns = WatchTurns(settings.name, peers.names)
+    platform_store.next_watch_wait_s = turns.wait_s
+    copies = CopySharing(
+        follower, peers.dispatcher, peers.links, CopySharingSettings(), log
+    )
 
     inspection = Inspection(
         fleet=fleet,
         calls=calls,
         settings=InspectionSettings(),
         own_name=settings.name,
-        peer_names=lambda: [link.peer.name for link in peers.links()],
+        peer_names=peers.names,
+        copy_age_limit_s=turns.age_limit_s,
         copy_age_s=lambda: time.monotonic() - follower.complete_at_s,
         serves_reports=holder.has_engine,
         tell_leaving=evacuations.tell_leaving,
@@ -140,11 +141,6 @@
     evacuations.leaving_hooks.append(inspection.take_leaving)
     evacuations.unreachable_hooks.append(inspection.check)
 
-    def set_watch_wait() -> None:
-        wait_s = WATCH_WAIT_S_PER_GATEWAY * (1 + len(peers.links()))
-        wait_s = min(max(wait_s, WATCH_WAIT_MIN_S), WATCH_WAIT_MAX_S)
-        platform_store.watch_wait_s = wait_s
-
     def limits() -> CallerLimits:
         return holder.catalog.limits if holder.catalog else CallerLimits()
 
@@ -157,7 +153,7 @@
             copies.run,
             inspection.run,
         ),
-        upkeep=(fleet.drop_lapsed, loads.drop_outdated, set_watch_wait),
+        upkeep=(fleet.drop_lapsed, loads.drop_outdated),
         leave_hooks=(loads.leave,),
         status=partial(_status, holder, fleet),
         closers=(presence.withdraw, peers.close, store.close, calls.close),
@@ -235,6 +231,10 @@
         found = (self.entries.link_to(one.name) for one in self.entries.entries)
         return [link for link in found if link is not None]
 
+    def names(self) -> list[str]:
+        """Return the names of the gateways with an open link."""
+        return [link.peer.name for link in self.links()]
+
     async def close(self) -> None:
         """Dial no more, and close the links that were dialled."""
         self.entries.stop()
--- a/src/boragespring/forwarding/inspection.py
+++ b/src/boragespring/forwarding/inspection.py
@@ -18,17 +18,14 @@
 
 @frozen
 class InspectionSettings:
-    """When and how often servers are asked.
+    """How often servers are asked.
 
     Parameters
     ----------
-    copy_age_min_s : float
-        Age of what the store told from which servers are asked.
     interval_s : float
         Time between two questions to one server.
     """
 
-    copy_age_min_s: float = 2.4
     interval_s: float = 0.3
 
 
@@ -64,6 +61,8 @@
         Name of this gateway.
     peer_names : callable
         Returns the gateways that share the work.
+    copy_age_limit_s : callable
+        Returns the age of what the store told from which servers are asked.
     copy_age_s : callable
         Returns the age of what the store told.
     serves_reports : callable
@@ -83,6 +82,7 @@
         settings: InspectionSettings,
         own_name: str,
         peer_names: Callable[[], Iterable[str]],
+        copy_age_limit_s: Callable[[], float],
         copy_age_s: Callable[[], float],
         serves_reports: Callable[[str], bool],
         tell_leaving: Callable[[str], None],
@@ -94,6 +94,7 @@
         self._settings = settings
         self._own_name = own_name
         self._peer_names = peer_names
+        self._copy_age_limit_s = copy_age_limit_s
         self._copy_age_s = copy_age_s
         self._serves_reports = serves_reports
         self._tell_leaving = tell_leaving
@@ -106,7 +107,7 @@
         """Ask as long as the store is away, until cancelled."""
         while True:
             await asyncio.sleep(self._settings.interval_s)
-            is_active = self._copy_age_s() > self._settings.copy_age_min_s
+            is_active = self._copy_age_s() > self._copy_age_limit_s()
             if is_active != self._is_active:
                 self._is_active = is_active
                 self._log.belief("inspection", is_active=is_active)
--- a/src/boragespring/platform/store_client.py
+++ b/src/boragespring/platform/store_client.py
@@ -4,7 +4,7 @@
 import base64
 import binascii
 import json
-from collections.abc import AsyncGenerator, Mapping, Sequence
+from collections.abc import AsyncGenerator, Callable, Mapping, Sequence
 from typing import Any
 
 import aiohttp
@@ -49,7 +49,7 @@
     call_timeout_s : float
         Longest wait for the answer to a call.
     watch_wait_s : float
-        Time that the store may hold a watch without changes, to begin with.
+        Time that the store may hold a watch without changes.
     watch_slack_s : float
         Time beyond that after which a watch counts as dead.
     """
@@ -66,8 +66,11 @@
 
     def __init__(self, settings: PlatformStoreSettings) -> None:
         self._settings = settings
-        #: Time for which the store holds the next watch.
-        self.watch_wait_s = settings.watch_wait_s
+        #: Returns the time for which the store may hold the next watch; it is
+        #: told whether the one before ended with a change.
+        self.next_watch_wait_s: Callable[[bool], float] = lambda _: (
+            settings.watch_wait_s
+        )
         self._session: aiohttp.ClientSession | None = None
 
     async def get(self, key: str) -> GetResult:
@@ -155,8 +158,9 @@
     ) -> AsyncGenerator[WatchBatch, None]:
         """Yield changes under a prefix from a revision on, in order."""
         after_revision = from_revision - 1
+        is_after_change = True
         while True:
-            wait_s = self.watch_wait_s
+            wait_s = self.next_watch_wait_s(is_after_change)
             query = {
                 "path_prefix": prefix,
                 "after_revision": str(after_revision),
@@ -168,6 +172,7 @@
                 raise WatchCompactedError(f"no history after {after_revision}")
             after_revision = _revision(body, after_revision)
             events = tuple(_event(entry) for entry in _rows(body, "events"))
+            is_after_change = bool(events)
             yield WatchBatch(after_revision, events)
 
     async def close(self) -> None:
--- a/src/boragespring/sharing/__init__.py
+++ b/src/boragespring/sharing/__init__.py
@@ -7,6 +7,7 @@
 from boragespring.sharing.evacuations import EvacuationSharing
 from boragespring.sharing.loads import LoadSharing, LoadSharingSettings
 from boragespring.sharing.presence import Presence, PresenceSettings
+from boragespring.sharing.watch_turns import WatchTurns, WatchTurnSettings
 
 __all__ = [
     "CopySharing",
@@ -16,4 +17,6 @@
     "LoadSharingSettings",
     "Presence",
     "PresenceSettings",
+    "WatchTurnSettings",
+    "WatchTurns",
 ]
--- a/src/boragespring/sharing/copies.py
+++ b/src/boragespring/sharing/copies.py
@@ -1,6 +1,7 @@
 """Get the store's content from other gateways while the store is away."""
 
 import asyncio
+import contextlib
 import time
 from collections.abc import Callable
 
@@ -59,6 +60,8 @@
         Follower of the store.
     dispatcher : Dispatcher
         Handlers of links.
+    links : callable
+        Returns the open links to other gateways.
     settings : CopySharingSettings
         Ages and waits.
     log : DecisionLog
@@ -69,11 +72,14 @@
         self,
         follower: PrefixFollower,
         dispatcher: Dispatcher,
+        links: Callable[[], list[Link]],
         settings: CopySharingSettings,
         log: DecisionLog,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._follower = follower
+        self._links = links
+        self._told_answer_at_s = float("-inf")
         self._settings = settings
         self._log = log
         self._clock = clock
@@ -87,10 +93,20 @@
         """Look at the ages until cancelled."""
         while True:
             await asyncio.sleep(self._settings.look_interval_s)
+            self._tell_answer()
             offer = self._better_offer()
             if offer is not None:
                 await self._take_over(offer)
 
+    def _tell_answer(self) -> None:
+        """Tell the others at once that the store has answered here."""
+        if self._follower.answered_at_s <= self._told_answer_at_s:
+            return
+        self._told_answer_at_s = self._follower.answered_at_s
+        for link in self._links():
+            with contextlib.suppress(LinkClosedError):
+                self._tell_age(link)
+
     def _better_offer(self) -> _Offer | None:
         offers = self._offers.values()
         best = max(offers, key=lambda offer: offer.complete_at_s, default=None)
@@ -137,6 +153,7 @@
         self._offers[link.peer.name] = _Offer(
             link, told.content_revision, complete_at_s
         )
+        self._follower.confirm_copy(told.content_revision, complete_at_s)
 
     def _forget(self, link: Link) -> None:
         offer = self._offers.get(link.peer.name)
--- /dev/null
+++ b/src/boragespring/sharing/tests/test_watch_turns.py
@@ -0,0 +1,47 @@
+"""Watches of several gateways: how old a copy gets, and how often they ask."""
+
+import pytest
+
+from boragespring.sharing import WatchTurns
+
+
+def fleet(count):
+    names = [f"gateway-{number:02}" for number in range(count)]
+    return [WatchTurns(name, lambda: names) for name in names]
+
+
+def answers_s(turns, until_s):
+    """Return the times at which one gateway's watches end after a change."""
+    time_s, times_s = turns.wait_s(True), []
+    while time_s < until_s:
+        times_s.append(time_s)
+        time_s += turns.wait_s(False)
+    return times_s
+
+
+@pytest.mark.parametrize("count", [1, 2, 5, 28, 400])
+def test_copies_stay_younger_than_the_limit_after_a_change(count):
+    gateways = fleet(count)
+    until_s = 3 * gateways[0].wait_s(False)
+    times_s = sorted(t for one in gateways for t in answers_s(one, until_s))
+    gaps_s = [b - a for a, b in zip([0.0, *times_s], times_s, strict=False)]
+    limit_s = gateways[0].age_limit_s()
+    assert max(gaps_s) < limit_s
+    # With one gateway gone the others are not misled either.
+    others_s = sorted(
+        t for one in gateways[1:] for t in answers_s(one, until_s) if count > 2
+    )
+    gaps_s = [b - a for a, b in zip([0.0, *others_s], others_s, strict=False)]
+    assert max(gaps_s, default=0.0) < limit_s
+
+
+def test_several_gateways_notice_an_outage_within_a_short_notice():
+    assert all(fleet(count)[0].age_limit_s() < 1.6 for count in (4, 5, 28, 400))
+
+
+def test_the_store_is_asked_no_more_often_by_many():
+    def calls_per_s(count):
+        return count / fleet(count)[0].wait_s(False)
+
+    assert calls_per_s(5) <= 2.5
+    assert calls_per_s(25) <= 2.5
--- a/src/boragespring/store/follower.py
+++ b/src/boragespring/store/follower.py
@@ -102,6 +102,7 @@
         self._next_revision = 0
         self._copy_revision = 0
         self._complete_at_s = float("-inf")
+        self._answered_at_s = float("-inf")
         self._lost_at_s: float | None = None
         self._has_lapsed = False
         self._failures = 0
@@ -126,6 +127,11 @@
         """Monotonic time at which the copy was last known to be complete."""
         return self._complete_at_s
 
+    @property
+    def answered_at_s(self) -> float:
+        """Monotonic time of the store's last answer to this process."""
+        return self._answered_at_s
+
     @property
     def items(self) -> list[KeyValue]:
         """All keys of the copy."""
@@ -214,6 +220,7 @@
 
     def _note_answer(self) -> None:
         self._failures = 0
+        self._answered_at_s = self._clock()
         if self._lost_at_s is None:
             return
         away_s = self._clock() - self._lost_at_s
