Keep the limits on callers' heads, times and idle connections; reload bounds

A body could take longer than its caller waits. A reload took over the grace of a stop alone. Change: connections count a head's bytes and time it (431, 408, then closed), idle ones end at the limit in force, a body has the caller's time; a reload puts all bounds in force and names what needs a restart.

--- a/src/boragespring/composition/gateway.py
+++ b/src/boragespring/composition/gateway.py
@@ -88,10 +88,11 @@
     loads = LoadSharing(fleet, peers.dispatcher, peers.links, LoadSharingSettings())
     gate.has_other_gateway = loads.has_serving_peer
     metrics = GatewayMetrics(registry)
+    budget = RetryBudget(_budget_settings(settings.bounds), peers.count)
     context = ForwardingContext(
         fleet=fleet,
         calls=calls,
-        budget=RetryBudget(_budget_settings(settings.bounds), peers.count),
+        budget=budget,
         log=log,
         zone=settings.availability_zone,
         placement=PlacementSettings(),
@@ -144,8 +145,12 @@
     def limits() -> CallerLimits:
         return holder.catalog.limits if holder.catalog else CallerLimits()
 
+    def take_bounds(bounds: GatewayBounds) -> None:
+        gate.apply(_gate_settings(bounds))
+        budget.apply(_budget_settings(bounds))
+
     gateway = Gateway(
-        callers=FrontDoor(settings.callers, forwarder, limits),
+        callers=FrontDoor(settings.callers, forwarder, limits, log),
         listeners=[peers.server],
         loops=(
             follower.run,
@@ -154,6 +159,7 @@
             inspection.run,
         ),
         upkeep=(fleet.drop_lapsed, loads.drop_outdated),
+        reload_hooks=(take_bounds,),
         leave_hooks=(loads.leave,),
         status=partial(_status, holder, fleet),
         closers=(presence.withdraw, peers.close, store.close, calls.close),
--- a/src/boragespring/forwarding/jobs.py
+++ b/src/boragespring/forwarding/jobs.py
@@ -145,6 +145,10 @@
         #: Whether a gateway is known that is not stopping.
         self.has_other_gateway: Callable[[], bool] = _always
 
+    def apply(self, settings: JobGateSettings) -> None:
+        """Put new settings in force."""
+        self._settings = settings
+
     def stop_at(self, stops_at_s: float) -> None:
         """Take only what ends before a monotonic time from now on."""
         self.stops_at_s = stops_at_s
--- a/src/boragespring/forwarding/messages.py
+++ b/src/boragespring/forwarding/messages.py
@@ -252,6 +252,7 @@
     UNKNOWN_KEY = "unknown_key"
     BAD_REQUEST = "bad_request"
     TOO_LARGE = "too_large"
+    HEAD_TOO_LARGE = "head_too_large"
     LEAVING = "leaving"
     NO_SERVER = "no_server"
     OVERLOADED = "overloaded"
--- a/src/boragespring/forwarding/retry_budget.py
+++ b/src/boragespring/forwarding/retry_budget.py
@@ -75,6 +75,12 @@
         self._requests: dict[str, _Window] = {}
         self._repeats: dict[str, _Window] = {}
 
+    def apply(self, settings: RetryBudgetSettings) -> None:
+        """Put new settings in force; what was counted stays counted."""
+        self._settings = settings
+        for window in (*self._requests.values(), *self._repeats.values()):
+            window.length_s = settings.window_s
+
     def note_request(self, service: str) -> None:
         """Count a request that a caller sent."""
         self._window(self._requests, service).add(self._clock())
--- a/src/boragespring/gateway/daemon.py
+++ b/src/boragespring/gateway/daemon.py
@@ -10,7 +10,7 @@
 
 from boragespring.decisions import DecisionLog
 from boragespring.forwarding import JobGate
-from boragespring.settings.gateway import GatewaySettings
+from boragespring.settings.gateway import GatewayBounds, GatewaySettings
 
 __all__ = ["CallerServer", "Gateway", "Listener"]
 
@@ -58,6 +58,8 @@
         What runs as long as the process.
     upkeep : sequence of callable
         Short work that is due from time to time.
+    reload_hooks : sequence of callable
+        What takes over new bounds.
     leave_hooks : sequence of callable
         What is called at the begin of a stop.
     status : callable
@@ -76,6 +78,7 @@
     listeners: list[Listener]
     loops: Sequence[Callable[[], Coroutine[None, None, None]]]
     upkeep: Sequence[Callable[[], None]]
+    reload_hooks: Sequence[Callable[[GatewayBounds], None]]
     leave_hooks: Sequence[Callable[[], None]]
     status: Callable[[], dict[str, Any]]
     closers: Sequence[Callable[[], Awaitable[None]]]
@@ -96,8 +99,8 @@
     def apply(self, settings: GatewaySettings) -> None:
         """Put new settings in force.
 
-        Only the grace of a stop is taken over; addresses, the store and the
-        other bounds stay those of the start, and the log names what differs.
+        The bounds are taken over; the name, addresses, the store and links stay
+        those of the start, and the log names which of them differ.
         """
         before = attrs.asdict(self.settings)
         changed = [
@@ -105,8 +108,14 @@
             for name, value in attrs.asdict(settings).items()
             if value != before[name]
         ]
-        self.settings = settings
-        self.log.lifecycle("reloaded", changed=changed)
+        self.settings = attrs.evolve(self.settings, bounds=settings.bounds)
+        for hook in self.reload_hooks:
+            hook(settings.bounds)
+        self.log.lifecycle(
+            "reloaded",
+            changed=changed,
+            needs_restart=[name for name in changed if name != "bounds"],
+        )
 
     async def start(self) -> None:
         """Open the ports."""
--- a/src/boragespring/platform/caller_reply.py
+++ b/src/boragespring/platform/caller_reply.py
@@ -12,6 +12,7 @@
     RefusalReason.UNKNOWN_KEY: 401,
     RefusalReason.BAD_REQUEST: 400,
     RefusalReason.TOO_LARGE: 413,
+    RefusalReason.HEAD_TOO_LARGE: 431,
 }
 #: Says that the request surely has not run and never will.
 _STATUS_NOT_RUN = 503
--- a/src/boragespring/platform/emulator/deployment.py
+++ b/src/boragespring/platform/emulator/deployment.py
@@ -94,12 +94,17 @@
         Keys by workspace.
     host : str
         Host that callers name.
+    limits : dict
+        Bounds on what callers may send, as the platform spells them.
     """
 
     store: EmulatedStore = field(factory=EmulatedStore)
     routes: Sequence[RouteSpec] = STANDARD_ROUTES
     keys: dict[str, list[str]] = field(factory=lambda: {"coop": ["key-1"]})
     host: str = "desk.example"
+    limits: dict[str, int] = field(
+        factory=lambda: {"header_bytes": 16384, "body_bytes": 65536}
+    )
     version: int = 1
     engine_spec: EngineSpec = EngineSpec()
     engines: dict[str, EmulatedEngine] = field(factory=dict)
@@ -237,7 +242,7 @@
                 {"name": MODEL_SERVICE, "connection_limit": 250, "engine": engine},
                 {"name": PLAIN_SERVICE, "connection_limit": 100},
             ],
-            "limits": {"header_bytes": 16384, "body_bytes": 65536},
+            "limits": self.limits,
             "tenants": [
                 {"name": name, "api_keys": keys} for name, keys in self.keys.items()
             ],
--- a/src/boragespring/platform/front_door.py
+++ b/src/boragespring/platform/front_door.py
@@ -12,6 +12,7 @@
 from multidict import CIMultiDictProxy
 
 from boragespring.catalog import CallerLimits
+from boragespring.decisions import DecisionLog
 from boragespring.forwarding import (
     CallerReply,
     CallerRequest,
@@ -21,6 +22,7 @@
     RefusalReason,
 )
 from boragespring.platform import names
+from boragespring.platform.caller_connection import CallerConnection, ConnectionServer
 from boragespring.platform.caller_reply import HttpCallerReply
 from boragespring.settings import AddressSettings
 
@@ -28,10 +30,6 @@
 
 #: Time that a caller that names none is taken to wait.
 REMAINING_DEFAULT_S = 60.0
-#: Longest idle time of a connection; callers are promised less.
-KEEPALIVE_TIMEOUT_S = 75.0
-#: Time to read what is left of a request that was answered early.
-LINGERING_TIME_S = 2.0
 
 
 class ServesRequests(Protocol):
@@ -53,6 +51,8 @@
         What answers requests.
     limits : callable
         Returns the bounds in force.
+    log : DecisionLog
+        Where refused connections are told.
     """
 
     def __init__(
@@ -60,7 +60,9 @@
         address: AddressSettings,
         forwarder: ServesRequests,
         limits: Callable[[], CallerLimits],
+        log: DecisionLog,
     ) -> None:
+        self._log = log
         self._address = address
         self._forwarder = forwarder
         self._limits = limits
@@ -72,16 +74,8 @@
 
     async def start(self) -> None:
         """Open the port."""
-        line_max_bytes = CallerLimits().header_bytes
-        server = web.Server(
-            self._handle,
-            request_factory=self._build_request,
-            handler_cancellation=True,
-            access_log=None,
-            keepalive_timeout=KEEPALIVE_TIMEOUT_S,
-            lingering_time=LINGERING_TIME_S,
-            max_line_size=line_max_bytes,
-            max_field_size=line_max_bytes,
+        server = ConnectionServer(
+            self._handle, self._limits, self._log, self._build_request
         )
         self._runner = web.ServerRunner(server, shutdown_timeout=0.1)
         await self._runner.setup()
@@ -116,6 +110,8 @@
         writer: AbstractStreamWriter,
         task: "asyncio.Task[None]",
     ) -> web.BaseRequest:
+        if isinstance(protocol, CallerConnection):
+            protocol.note_head_read()
         return web.BaseRequest(
             message,
             payload,
@@ -130,7 +126,7 @@
         self.in_progress += 1
         caller = HttpCallerReply(request, self.is_leaving)
         try:
-            decoded = await _decode_request(request)
+            decoded = await _decode_request(request, self._limits())
             if isinstance(decoded, Refusal):
                 await caller.refuse(decoded)
             else:
@@ -140,20 +136,29 @@
         finally:
             self.in_progress -= 1
             self._idle.set()
+            if isinstance(request.protocol, CallerConnection):
+                request.protocol.note_answered()
         return caller.response or web.Response(status=500)
 
 
-async def _decode_request(request: web.BaseRequest) -> CallerRequest | Refusal:
+async def _decode_request(
+    request: web.BaseRequest, limits: CallerLimits
+) -> CallerRequest | Refusal:
     arrived_at_s = time.monotonic()
+    headers = request.headers
+    remaining_s = _milliseconds(headers.get(names.REMAINING_MS))
+    if _head_bytes(request) > limits.header_bytes:
+        return Refusal(RefusalReason.HEAD_TOO_LARGE, was_not_run=True)
     try:
-        body = await request.read()
+        async with asyncio.timeout(remaining_s):
+            body = await request.read()
     except web.HTTPRequestEntityTooLarge:
         return Refusal(RefusalReason.TOO_LARGE, was_not_run=True)
-    headers = request.headers
+    except TimeoutError:
+        return Refusal(RefusalReason.TOO_LATE, was_not_run=True)
     request_id = headers.get(names.REQUEST_ID, "")
     if not request_id or not request.raw_path.startswith("/"):
         return Refusal(RefusalReason.BAD_REQUEST, was_not_run=True)
-    remaining_s = _milliseconds(headers.get(names.REMAINING_MS))
     return CallerRequest(
         request_id=request_id,
         method=request.method,
@@ -168,6 +173,15 @@
     )
 
 
+def _head_bytes(request: web.BaseRequest) -> int:
+    """Return the size of the request line and the headers, as they were sent."""
+    separators = len(": \r\n")
+    fields = sum(
+        len(name) + len(value) + separators for name, value in request.raw_headers
+    )
+    return fields + len(request.method) + len(request.raw_path)
+
+
 def _forwarded(headers: CIMultiDictProxy[str]) -> Iterable[tuple[str, str]]:
     """Return the headers that concern the backend server."""
     named = {
--- a/src/boragespring/platform/tests/support.py
+++ b/src/boragespring/platform/tests/support.py
@@ -97,3 +97,11 @@
         for line in body.splitlines()
         if line.startswith(b"data: ")
     ]
+
+
+async def status_of(session, process, path="/book/x", key="key-1", request_id="r"):
+    async with session.post(
+        process.url + path, headers=headers(request_id, key=key)
+    ) as response:
+        await response.read()
+        return response.status
