Soak real gateway processes under faults from outside them

The relay of the fault runs gains delays, one-way drops and resets. Steps of the clock have a test within one process.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 DEV_STAMP := $(VENV)/.installed-dev
 N ?= 20
 
-.PHONY: demo test lint format bench faults clean
+.PHONY: demo test lint format bench faults soak clean
 
 $(STAMP): requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -36,6 +36,9 @@
 faults: $(DEV_STAMP)
 	$(BIN)/boragespring faults --runs $(N)
 
+soak: $(DEV_STAMP)
+	$(BIN)/boragespring soak --runs $(N)
+
 bench: $(DEV_STAMP)
 	$(BIN)/boragespring bench
 
--- a/src/boragespring/cli/app.py
+++ b/src/boragespring/cli/app.py
@@ -16,6 +16,7 @@
     leave,
     lists,
     replay,
+    soak,
     standin,
     status,
 )
@@ -40,6 +41,7 @@
 gateway.add_commands(app)
 leave.add_commands(app)
 replay.add_commands(app)
+soak.add_commands(app)
 status.add_commands(app)
 app.add_typer(lists.app, name="lists")
 app.add_typer(standin.app, name="standin")
--- /dev/null
+++ b/src/boragespring/cli/soak.py
@@ -0,0 +1,56 @@
+"""Command that soaks gateway processes under seeded faults."""
+
+import asyncio
+import shutil
+import tempfile
+from collections import Counter
+from logging import CRITICAL, getLogger
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from boragespring.soak import SoakReport, run_soak
+
+__all__ = ["add_commands"]
+
+
+def add_commands(app: typer.Typer) -> None:
+    """Add the command to the root."""
+    app.command()(soak)
+
+
+def soak(
+    runs: Annotated[int, typer.Option(help="Number of runs.")] = 50,
+    seed: Annotated[int, typer.Option(help="Seed of the first run.")] = 0,
+    concurrency: Annotated[int, typer.Option(help="Runs at the same time.")] = 2,
+) -> None:
+    """Soak real gateways under faults; keep the logs of runs that broke a promise."""
+    # Connections break on purpose; their lines say nothing about the verdict.
+    for name in ("asyncio", "aiohttp.server"):
+        getLogger(name).setLevel(CRITICAL)
+    reports = asyncio.run(_run(range(seed, seed + runs), concurrency))
+    failed = [report for report in reports if report.breaches]
+    kinds = Counter(one.kind.value for report in failed for one in report.breaches)
+    requests = sum(report.statuses.total() for report in reports)
+    typer.echo(f"runs={runs} failed={len(failed)} requests={requests} {dict(kinds)}")
+    raise typer.Exit(1 if failed else 0)
+
+
+async def _run(seeds: range, concurrency: int) -> list[SoakReport]:
+    turns = asyncio.Semaphore(concurrency)
+
+    async def run(seed: int) -> SoakReport:
+        async with turns:
+            directory = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+            report = await run_soak(seed, directory, seed)
+            typer.echo(f"{report.describe()} {report.duration_s:.1f} s")
+            for breach in report.breaches:
+                typer.echo(f"  {breach.kind} {breach.request_id} {breach.detail}")
+            if report.breaches:
+                typer.echo(f"  logs: {directory}")
+            else:
+                shutil.rmtree(directory)
+            return report
+
+    return await asyncio.gather(*map(run, seeds))
--- a/src/boragespring/faults/relay.py
+++ b/src/boragespring/faults/relay.py
@@ -1,4 +1,4 @@
-"""TCP relay whose open connections can go silent while new ones work."""
+"""TCP relay between processes that delays, drops or resets what it passes."""
 
 import asyncio
 import contextlib
@@ -18,6 +18,11 @@
     far: asyncio.StreamWriter
     is_silent: bool = False
 
+    def abort(self) -> None:
+        """Reset both connections."""
+        self.near.transport.abort()
+        self.far.transport.abort()
+
 
 @define(eq=False)
 class Relay:
@@ -29,10 +34,20 @@
         Address of the target and of the listening socket.
     target_port : int
         Port of the target.
+    delay_s : float
+        Delay of each part that is passed on.
+    drops_requests, drops_replies : bool
+        Whether bytes to the target, or from it, go nowhere.
+    resets : bool
+        Whether new connections are reset.
     """
 
     host: str
     target_port: int
+    delay_s: float = 0.0
+    drops_requests: bool = False
+    drops_replies: bool = False
+    resets: bool = False
     port: int = field(init=False, default=0)
     _server: asyncio.Server | None = field(init=False, default=None)
     _pairs: set[_Pair] = field(init=False, factory=set)
@@ -46,9 +61,7 @@
         """Close all connections."""
         if self._server is not None:
             self._server.close()
-        for pair in tuple(self._pairs):
-            pair.near.transport.abort()
-            pair.far.transport.abort()
+        self.reset()
         while self._pairs:  # noqa: ASYNC110
             await asyncio.sleep(0)
 
@@ -57,9 +70,22 @@
         for pair in self._pairs:
             pair.is_silent = True
 
+    def reset(self) -> None:
+        """Reset the connections that are open now."""
+        for pair in tuple(self._pairs):
+            pair.abort()
+
+    def heal(self) -> None:
+        """Pass everything on again."""
+        self.delay_s = 0.0
+        self.drops_requests = self.drops_replies = self.resets = False
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        if self.resets:
+            writer.transport.abort()
+            return
         try:
             far_reader, far_writer = await asyncio.open_connection(
                 self.host, self.target_port
@@ -71,20 +97,26 @@
         self._pairs.add(pair)
         try:
             await asyncio.gather(
-                _pass_on(pair, reader, far_writer), _pass_on(pair, far_reader, writer)
+                self._pass_on(pair, reader, far_writer, "drops_requests"),
+                self._pass_on(pair, far_reader, writer, "drops_replies"),
             )
         finally:
             self._pairs.discard(pair)
 
-
-async def _pass_on(
-    pair: _Pair, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-) -> None:
-    with contextlib.suppress(OSError):
-        while data := await reader.read(READ_MAX_BYTES):
-            if not pair.is_silent:
-                writer.write(data)
-                await writer.drain()
-    # A silent connection tells neither end that the other one has closed.
-    if not pair.is_silent:
-        writer.close()
+    async def _pass_on(
+        self,
+        pair: _Pair,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        drops: str,
+    ) -> None:
+        with contextlib.suppress(OSError):
+            while data := await reader.read(READ_MAX_BYTES):
+                if self.delay_s:
+                    await asyncio.sleep(self.delay_s)
+                if not pair.is_silent and not getattr(self, drops):
+                    writer.write(data)
+                    await writer.drain()
+        # A silent connection tells neither end that the other one has closed.
+        if not pair.is_silent:
+            writer.close()
--- a/src/boragespring/platform/tests/test_outages.py
+++ b/src/boragespring/platform/tests/test_outages.py
@@ -1,6 +1,7 @@
 """The store away, slow or forgetful; gateways that start, stop and reload."""
 
 import asyncio
+import itertools
 import time
 
 import aiohttp
@@ -223,3 +224,25 @@
         assert line.needs_restart == ["region"]
         process.gateway.apply(process.settings)
         assert await status_of(session, process) == 200
+
+
+async def test_steps_of_the_clock_change_nothing(session, monkeypatch):
+    """The time of day jumps forward and back while requests run."""
+    async with deployment(engines=2, services=1, gateways=2) as platform:
+        real_s = time.time
+        steps_s = itertools.cycle((3600.0, -7200.0, 0.0, 5.0))
+        monkeypatch.setattr(time, "time", lambda: real_s() + next(steps_s))
+        url = platform.gateways[0].url + "/draft/x"
+        sent = headers("s1", remaining_ms=20_000, **prompt(100, 400))
+        async with session.post(url, headers=sent) as response:
+            await asyncio.sleep(0.3)
+            leaving = next(one for one in platform.engines.values() if one.runs)
+            end = platform.reclaim(leaving.server_id, notice_s=0.8)
+            assert await read_events(response) == list(range(1, 101))
+            await end
+        platform.keys["coop"].remove("key-1")
+        platform.configure()
+        await asyncio.sleep(0.3)
+        for process in platform.gateways:
+            assert await status_of(session, process) == 401
+        assert not any(told(one, "peer_down") for one in platform.gateways)
--- /dev/null
+++ b/src/boragespring/soak/__init__.py
@@ -0,0 +1,9 @@
+"""Soak of real gateway processes under faults from outside them.
+
+Gateways run as processes of their own on addresses of the loopback network; the
+emulated platform, the callers and the checks run in one other process.
+"""
+
+from boragespring.soak.runner import SoakReport, run_soak
+
+__all__ = ["SoakReport", "run_soak"]
--- /dev/null
+++ b/src/boragespring/soak/deployment.py
@@ -0,0 +1,222 @@
+"""Emulated platform with gateways as processes of their own."""
+
+import asyncio
+import signal
+from http import HTTPStatus
+from pathlib import Path
+
+import aiohttp
+from attrs import define, field
+
+from boragespring.bench.processes import ProcessSet, free_ports
+from boragespring.faults.relay import Relay
+from boragespring.platform.emulator import EmulatedPlatform, EngineSpec
+from boragespring.platform.names import READY_PATH
+
+__all__ = ["SoakDeployment", "SoakGateway"]
+
+LOOPBACK = "127.0.0.1"
+ENGINES, SERVICES, GATEWAYS = 3, 2, 3
+STOP_GRACE_S = 4.0
+CATALOG_DELAY_S = 2.0
+READY_POLL_S = 0.1
+READY_TIMEOUT_S = 0.5
+MISSES_MAX = 2
+START_TIMEOUT_S = 15.0
+#: Networks of the loopback from which runs at the same time take addresses.
+NETWORKS = 250
+
+SETTINGS = """node = "{name}"
+zone = "zone-a"
+region = "region"
+ip_address = "{host}"
+internal_ports = [{peers}, {peers}]
+[listen]
+front = "{host}:{callers}"
+ready = "{host}:{ready}"
+[bounds]
+configuration_ms = {catalog_delay_ms}
+grace_s = {grace_s}
+[platform]
+address = "{store}"
+"""
+
+
+@define(eq=False)
+class SoakGateway:
+    """One gateway process, with the relay between it and the store.
+
+    Attributes
+    ----------
+    starts : int
+        Number of starts so far.
+    misses : int
+        Readiness checks in a row without success.
+    has_been_ready : bool
+        Whether the process that runs now was ready once.
+    """
+
+    name: str
+    host: str
+    callers_port: int
+    ready_port: int
+    settings_path: Path
+    relay: Relay
+    starts: int = 0
+    misses: int = MISSES_MAX
+    has_been_ready: bool = False
+    exit_codes: list[int] = field(factory=list)
+    busy: asyncio.Lock = field(factory=asyncio.Lock)
+
+    @property
+    def process(self) -> str:
+        """Name of the process that runs now."""
+        return f"{self.name}-{self.starts}"
+
+    @property
+    def url(self) -> str:
+        """Base address for callers."""
+        return f"http://{self.host}:{self.callers_port}"
+
+    @property
+    def is_in_rotation(self) -> bool:
+        """Whether a balancer sends new requests there."""
+        return self.misses < MISSES_MAX
+
+
+class SoakDeployment:
+    """Store, servers and gateways of one run; a context manager.
+
+    Parameters
+    ----------
+    network : int
+        Which addresses of the loopback network the gateways take.
+    directory : Path
+        Where settings and logs go.
+    """
+
+    def __init__(self, network: int, directory: Path) -> None:
+        self._network = network % NETWORKS
+        self._directory = directory
+        self._processes = ProcessSet(directory)
+        self._poll: asyncio.Task[None] | None = None
+        spec = EngineSpec(event_s=0.01, copy_s_per_token=0.00002)
+        self.platform = EmulatedPlatform(
+            engine_spec=spec, keys={"coop": ["key-1", "key-2"], "other": ["key-3"]}
+        )
+        self.gateways: list[SoakGateway] = []
+
+    async def __aenter__(self) -> "SoakDeployment":
+        await self.platform.start(ENGINES, SERVICES)
+        for number in range(GATEWAYS):
+            await self._add_gateway(number)
+        self._poll = asyncio.create_task(self._poll_readiness())
+        await self.wait_ready()
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        if self._poll is not None:
+            self._poll.cancel()
+        await self._processes.__aexit__(None, None, None)
+        for gateway in self.gateways:
+            await gateway.relay.stop()
+        await self.platform.stop()
+
+    async def wait_ready(self, timeout_s: float = START_TIMEOUT_S) -> None:
+        """Wait until every gateway is in rotation; raise `TimeoutError`."""
+        async with asyncio.timeout(timeout_s):
+            while not all(  # noqa: ASYNC110
+                gateway.is_in_rotation for gateway in self.gateways
+            ):
+                await asyncio.sleep(READY_POLL_S)
+
+    def choose(self, number: int) -> SoakGateway:
+        """Return a gateway as the balancer chooses it."""
+        known = [one for one in self.gateways if one.is_in_rotation] or self.gateways
+        return known[number % len(known)]
+
+    def log_paths(self) -> list[Path]:
+        """Return the logs of all processes."""
+        return sorted(self._directory.glob("*.log"))
+
+    async def start(self, gateway: SoakGateway) -> None:
+        """Start a gateway's process."""
+        gateway.starts += 1
+        gateway.misses = MISSES_MAX
+        gateway.has_been_ready = False
+        await self._processes.start(
+            gateway.process,
+            "boragespring.cli.gateway",
+            "--settings",
+            str(gateway.settings_path),
+        )
+
+    async def stop(self, gateway: SoakGateway) -> None:
+        """Stop a gateway as planned, and start it again."""
+        async with gateway.busy:
+            had_been_ready = gateway.has_been_ready
+            self.signal(gateway, signal.SIGTERM)
+            code = await self._processes.wait(gateway.process, 2 * STOP_GRACE_S)
+            # Before its handler stands, the signal itself ends the process.
+            if had_been_ready or code != -signal.SIGTERM:
+                gateway.exit_codes.append(code)
+            await self.start(gateway)
+
+    async def kill(self, gateway: SoakGateway, down_s: float) -> None:
+        """Kill a gateway, and start it again later."""
+        async with gateway.busy:
+            self.signal(gateway, signal.SIGKILL)
+            await self._processes.wait(gateway.process)
+            await asyncio.sleep(down_s)
+            await self.start(gateway)
+
+    async def freeze(self, gateway: SoakGateway, duration_s: float) -> None:
+        """Let a gateway stand still for a while."""
+        async with gateway.busy:
+            self.signal(gateway, signal.SIGSTOP)
+            await asyncio.sleep(duration_s)
+            self.signal(gateway, signal.SIGCONT)
+
+    def signal(self, gateway: SoakGateway, number: signal.Signals) -> None:
+        """Send a signal to a gateway's process."""
+        self._processes.signal(gateway.process, number)
+
+    async def _add_gateway(self, number: int) -> None:
+        host = f"127.77.{self._network}.{number + 1}"
+        callers, ready, peers = free_ports(3)
+        relay = Relay(LOOPBACK, self.platform.store.port)
+        await relay.start()
+        path = self._directory / f"gateway-{number}.toml"
+        text = SETTINGS.format(
+            name=f"gateway-{number}",
+            host=host,
+            peers=peers,
+            callers=callers,
+            ready=ready,
+            catalog_delay_ms=CATALOG_DELAY_S * 1000,
+            grace_s=STOP_GRACE_S,
+            store=f"{LOOPBACK}:{relay.port}",
+        )
+        path.write_text(text, encoding="utf-8")
+        gateway = SoakGateway(f"gateway-{number}", host, callers, ready, path, relay)
+        self.gateways.append(gateway)
+        await self.start(gateway)
+
+    async def _poll_readiness(self) -> None:
+        timeout = aiohttp.ClientTimeout(total=READY_TIMEOUT_S)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            while True:
+                await asyncio.gather(
+                    *(self._look(session, gateway) for gateway in self.gateways)
+                )
+                await asyncio.sleep(READY_POLL_S)
+
+    async def _look(self, session: aiohttp.ClientSession, gateway: SoakGateway) -> None:
+        url = f"http://{gateway.host}:{gateway.ready_port}{READY_PATH}"
+        try:
+            async with session.get(url) as response:
+                is_ready = response.status == HTTPStatus.OK
+        except (aiohttp.ClientError, TimeoutError):
+            is_ready = False
+        gateway.misses = 0 if is_ready else gateway.misses + 1
+        gateway.has_been_ready |= is_ready
