--- a/src/boragespring/cli/bench.py
+++ b/src/boragespring/cli/bench.py
@@ -18,6 +18,7 @@
     POLICIES = "policies"
     ANSWERS = "answers"
     MEMBERSHIP = "membership"
+    GENERATIONS = "generations"
 
 
 def add_commands(app: typer.Typer) -> None:
--- a/src/boragespring/fleet/state.py
+++ b/src/boragespring/fleet/state.py
@@ -1,7 +1,7 @@
 """Backend servers by identity, with joining, leaving and suspicion."""
 
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 
 from attrs import frozen
 
@@ -59,6 +59,7 @@
         self._log = log
         self._clock = clock
         self._servers: dict[str, BackendServer] = {}
+        self._candidates: dict[str, tuple[BackendServer, ...]] = {}
         self._lapsing_since_s: dict[str, float] = {}
         self.leave_hooks: list[LeaveHook] = []
 
@@ -71,13 +72,18 @@
         """Return a server by its identity."""
         return self._servers.get(server_id)
 
-    def candidates(self, service: str) -> list[BackendServer]:
+    def candidates(self, service: str) -> Sequence[BackendServer]:
         """Return the servers of a service that take new requests."""
-        return [
-            server
-            for server in self._servers.values()
-            if server.registration.service == service and not server.is_leaving
-        ]
+        # Asked for each request, and the same until a server joins or leaves.
+        found = self._candidates.get(service)
+        if found is None:
+            found = tuple(
+                server
+                for server in self._servers.values()
+                if server.registration.service == service and not server.is_leaving
+            )
+            self._candidates[service] = found
+        return found
 
     def register(self, registration: Registration) -> None:
         """Take in what a server told of itself."""
@@ -86,12 +92,15 @@
         if server is None or _is_other_start(server.registration, registration):
             self._join(registration)
             return
+        if registration.service != server.registration.service:
+            self._candidates.clear()
         server.registration = registration
         server.is_registered = True
         if registration.is_leaving:
             self._leave(server, "told")
         elif server.left_at_s is not None:
             server.left_at_s = None
+            self._candidates.clear()
             self._tell("server_back", server)
 
     def mark_leaving(self, server: BackendServer, reason: str) -> None:
@@ -176,6 +185,7 @@
     def _join(self, registration: Registration) -> None:
         server = BackendServer(registration, joined_at_s=self._clock())
         self._servers[registration.server_id] = server
+        self._candidates.clear()
         self._tell("server_joined", server, address=str(server.address))
         if registration.is_leaving:
             self._leave(server, "told")
@@ -184,6 +194,7 @@
         if server.is_leaving:
             return
         server.left_at_s = self._clock()
+        self._candidates.clear()
         self._tell("server_leaving", server, reason=reason, runs=len(server.runs))
         for hook in self.leave_hooks:
             hook(server)
@@ -192,6 +203,7 @@
         known = self._servers.get(server.server_id)
         if known is server and not server.is_registered and not server.runs:
             del self._servers[server.server_id]
+            self._candidates.clear()
 
     def _tell(self, event: str, server: BackendServer, **inputs: object) -> None:
         registration = server.registration
--- a/src/boragespring/fleet/tests/test_fleet.py
+++ b/src/boragespring/fleet/tests/test_fleet.py
@@ -1,5 +1,7 @@
 """Joining, leaving, lapses and suspicion of servers."""
 
+import random
+
 import pytest
 from attrs import evolve
 
@@ -107,3 +109,29 @@
     assert not names(fleet)
     fleet.register(evolve(entry("one"), slots=5))
     assert names(fleet) == {"one"}
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_candidates_follow_every_change(fleet, seed):
+    chance = random.Random(seed)
+    for _ in range(200):
+        name = f"s{chance.randrange(4)}"
+        service = chance.choice(("svc", "other"))
+        server = fleet.find(name)
+        match chance.randrange(4):
+            case 0 | 1:
+                is_leaving = chance.random() < 0.3
+                fleet.register(
+                    evolve(entry(name, is_leaving=is_leaving), service=service)
+                )
+            case 2:
+                fleet.unregister(name, "test")
+            case 3 if server is not None:
+                fleet.mark_leaving(server, "test")
+        for service in ("svc", "other"):
+            expected = [
+                one
+                for one in fleet.servers
+                if one.registration.service == service and not one.is_leaving
+            ]
+            assert list(fleet.candidates(service)) == expected
