Wire the gateway in parts; share the fault and report types of both soaks

Change: one function each for the forwarder and for what follows the store; SeededFault, Breach and RunReport serve both kinds of runs.

--- a/src/boragespring/cli/soak.py
+++ b/src/boragespring/cli/soak.py
@@ -10,7 +10,8 @@
 
 import typer
 
-from boragespring.soak import SoakReport, run_soak
+from boragespring.faults import RunReport
+from boragespring.soak import run_soak
 
 __all__ = ["add_commands"]
 
@@ -32,21 +33,21 @@
     reports = asyncio.run(_run(range(seed, seed + runs), concurrency))
     failed = [report for report in reports if report.breaches]
     kinds = Counter(one.kind.value for report in failed for one in report.breaches)
-    requests = sum(report.statuses.total() for report in reports)
+    requests = sum(report.endings.total() for report in reports)
     typer.echo(f"runs={runs} failed={len(failed)} requests={requests} {dict(kinds)}")
     raise typer.Exit(1 if failed else 0)
 
 
-async def _run(seeds: range, concurrency: int) -> list[SoakReport]:
+async def _run(seeds: range, concurrency: int) -> list[RunReport]:
     turns = asyncio.Semaphore(concurrency)
 
-    async def run(seed: int) -> SoakReport:
+    async def run(seed: int) -> RunReport:
         async with turns:
             directory = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
             report = await run_soak(seed, directory, seed)
             typer.echo(f"{report.describe()} {report.duration_s:.1f} s")
             for breach in report.breaches:
-                typer.echo(f"  {breach.kind} {breach.request_id} {breach.detail}")
+                typer.echo(f"  {breach.kind} {breach.marker} {breach.detail}")
             if report.breaches:
                 typer.echo(f"  logs: {directory}")
             else:
--- a/src/boragespring/composition/gateway.py
+++ b/src/boragespring/composition/gateway.py
@@ -1,7 +1,7 @@
 """Wire a gateway on the users' platform."""
 
 import time
-from collections.abc import Iterable, Sequence
+from collections.abc import Awaitable, Callable, Coroutine, Iterable, Sequence
 from functools import partial
 from typing import Any
 
@@ -77,17 +77,14 @@
 def build_gateway(settings: GatewaySettings, log: DecisionLog) -> Gateway:
     """Return a gateway that is ready to start."""
     registry = CollectorRegistry()
+    metrics = GatewayMetrics(registry)
     holder = CatalogHolder(log)
     fleet = Fleet(FleetSettings(), log)
-    platform_store = PlatformStore(PlatformStoreSettings(settings.store.url))
-    store = BudgetedStore(platform_store, _store_budget(settings.store))
-    StoreMetrics(registry, store.counters)
     calls = HttpServerCalls(ServerCallSettings())
-    gate = JobGate(holder, _gate_settings(settings.bounds))
     peers = _build_peers(settings, registry, log)
     loads = LoadSharing(fleet, peers.dispatcher, peers.links, LoadSharingSettings())
+    gate = JobGate(holder, _gate_settings(settings.bounds))
     gate.has_other_gateway = loads.has_serving_peer
-    metrics = GatewayMetrics(registry)
     budget = RetryBudget(_budget_settings(settings.bounds), peers.count)
     context = ForwardingContext(
         fleet=fleet,
@@ -100,32 +97,9 @@
         tell_loads=loads.notify,
     )
     evacuations = EvacuationSharing(peers.dispatcher, peers.links)
-    relocations = Relocations(context, RelocationSettings(), evacuations)
-    evacuations.announce_hooks.append(relocations.take_peer_runs)
-    evacuations.end_hooks.append(relocations.take_peer_end)
-    forwarder = Forwarder(
-        gate=gate,
-        whole=WholeForwarder(context, WholeSettings()),
-        streamed=StreamForwarder(context, relocations, StreamSettings()),
-        context=context,
-    )
-    presence = Presence(
-        store, _own_instance(settings), peers.entries.take, PresenceSettings(), log
-    )
-    readers = PrefixFanOut(
-        {
-            CATALOG_KEY: CatalogFeed(holder, log),
-            REGISTRATION_PREFIX: FleetFeed(fleet, log),
-            PRESENCE_PREFIX: presence,
-        }
-    )
-    follower = PrefixFollower(store, ALL_KEYS, readers, StoreContactLog(log))
+    forwarder = _build_forwarder(context, gate, evacuations)
     turns = WatchTurns(settings.name, peers.names)
-    platform_store.next_watch_wait_s = turns.wait_s
-    copies = CopySharing(
-        follower, peers.dispatcher, peers.links, CopySharingSettings(), log
-    )
-
+    following = _build_following(settings, registry, holder, fleet, peers, turns, log)
     inspection = Inspection(
         fleet=fleet,
         calls=calls,
@@ -133,7 +107,7 @@
         own_name=settings.name,
         peer_names=peers.names,
         copy_age_limit_s=turns.age_limit_s,
-        copy_age_s=lambda: time.monotonic() - follower.complete_at_s,
+        copy_age_s=following.copy_age_s,
         serves_reports=holder.has_engine,
         tell_leaving=evacuations.tell_leaving,
         tell_unreachable=evacuations.tell_unreachable,
@@ -152,22 +126,17 @@
     gateway = Gateway(
         callers=FrontDoor(settings.callers, forwarder, limits, log),
         listeners=[peers.server],
-        loops=(
-            follower.run,
-            presence.run,
-            copies.run,
-            inspection.run,
-        ),
+        loops=(*following.loops, inspection.run),
         upkeep=(fleet.drop_lapsed, loads.drop_outdated),
         reload_hooks=(take_bounds,),
         leave_hooks=(loads.leave,),
         status=partial(_status, holder, fleet),
-        closers=(presence.withdraw, peers.close, store.close, calls.close),
+        closers=(*following.closers, calls.close),
         gate=gate,
         settings=settings,
         log=log,
     )
-    _add_gauges(metrics, holder, fleet, follower, peers)
+    _add_gauges(metrics, holder, fleet, following.copy_age_s, peers)
     gateway.listeners += [
         ReadinessServer(settings.readiness, gateway.why_not_ready),
         AdminServer(settings.metrics, _admin_app(registry, gateway)),
@@ -175,11 +144,78 @@
     return gateway
 
 
+def _build_forwarder(
+    context: ForwardingContext, gate: JobGate, evacuations: EvacuationSharing
+) -> Forwarder:
+    relocations = Relocations(context, RelocationSettings(), evacuations)
+    evacuations.announce_hooks.append(relocations.take_peer_runs)
+    evacuations.end_hooks.append(relocations.take_peer_end)
+    return Forwarder(
+        gate=gate,
+        whole=WholeForwarder(context, WholeSettings()),
+        streamed=StreamForwarder(context, relocations, StreamSettings()),
+        context=context,
+    )
+
+
+@frozen
+class _Following:
+    """What keeps the catalog, the servers and the other gateways known.
+
+    Parameters
+    ----------
+    loops : tuple of callable
+        What runs as long as the process.
+    closers : tuple of callable
+        What is closed at the end.
+    copy_age_s : callable
+        Returns the age of what the store told.
+    """
+
+    loops: tuple[Callable[[], Coroutine[None, None, None]], ...]
+    closers: tuple[Callable[[], Awaitable[None]], ...]
+    copy_age_s: Callable[[], float]
+
+
+def _build_following(
+    settings: GatewaySettings,
+    registry: CollectorRegistry,
+    holder: CatalogHolder,
+    fleet: Fleet,
+    peers: "_Peers",
+    turns: WatchTurns,
+    log: DecisionLog,
+) -> _Following:
+    platform_store = PlatformStore(PlatformStoreSettings(settings.store.url))
+    platform_store.next_watch_wait_s = turns.wait_s
+    store = BudgetedStore(platform_store, _store_budget(settings.store))
+    StoreMetrics(registry, store.counters)
+    presence = Presence(
+        store, _own_instance(settings), peers.entries.take, PresenceSettings(), log
+    )
+    readers = PrefixFanOut(
+        {
+            CATALOG_KEY: CatalogFeed(holder, log),
+            REGISTRATION_PREFIX: FleetFeed(fleet, log),
+            PRESENCE_PREFIX: presence,
+        }
+    )
+    follower = PrefixFollower(store, ALL_KEYS, readers, StoreContactLog(log))
+    copies = CopySharing(
+        follower, peers.dispatcher, peers.links, CopySharingSettings(), log
+    )
+    return _Following(
+        loops=(follower.run, presence.run, copies.run),
+        closers=(presence.withdraw, peers.close, store.close),
+        copy_age_s=lambda: time.monotonic() - follower.complete_at_s,
+    )
+
+
 def _add_gauges(
     metrics: GatewayMetrics,
     holder: CatalogHolder,
     fleet: Fleet,
-    follower: PrefixFollower,
+    copy_age_s: Callable[[], float],
     peers: "_Peers",
 ) -> None:
     metrics.add_gauge(
@@ -190,7 +226,7 @@
     metrics.add_gauge(
         "store_copy_age_seconds",
         "Time since all that the store holds was known here.",
-        lambda: time.monotonic() - follower.complete_at_s,
+        copy_age_s,
     )
     metrics.add_gauge(
         "servers",
--- a/src/boragespring/faults/__init__.py
+++ b/src/boragespring/faults/__init__.py
@@ -9,7 +9,7 @@
 )
 from boragespring.faults.deployment import FaultDeployment, fault_settings
 from boragespring.faults.runner import RunReport, run_many, run_one
-from boragespring.faults.schedule import Fault, FaultKind, draw_faults
+from boragespring.faults.schedule import Fault, FaultKind, SeededFault, draw_faults
 from boragespring.faults.verdict import Breach, BreachKind, Ledgers, judge
 
 __all__ = [
@@ -25,6 +25,7 @@
     "Ledgers",
     "RequestKind",
     "RunReport",
+    "SeededFault",
     "draw_faults",
     "fault_settings",
     "judge",
--- a/src/boragespring/faults/runner.py
+++ b/src/boragespring/faults/runner.py
@@ -6,6 +6,7 @@
 import time
 from collections import Counter
 from collections.abc import AsyncIterator, Iterable
+from typing import Any
 
 import aiohttp
 from attrs import frozen
@@ -14,7 +15,7 @@
 from boragespring.faults.deployment import FaultDeployment
 from boragespring.faults.hosting import DaemonKilledError
 from boragespring.faults.injector import FaultInjector
-from boragespring.faults.schedule import PLANNED_KINDS, Fault, draw_faults
+from boragespring.faults.schedule import PLANNED_KINDS, Fault, SeededFault, draw_faults
 from boragespring.faults.verdict import Breach, BreachKind, judge, read_ledgers
 from boragespring.faults.workload import draw_callers
 from boragespring.standins.engine_core import RunState
@@ -33,7 +34,7 @@
     ----------
     seed : int
         Seed of the run.
-    faults : tuple of Fault
+    faults : tuple of SeededFault
         What went wrong.
     endings : Counter
         Requests by ending and error code.
@@ -44,7 +45,7 @@
     """
 
     seed: int
-    faults: tuple[Fault, ...]
+    faults: tuple[SeededFault[Any], ...]
     endings: Counter[str]
     breaches: tuple[Breach, ...]
     duration_s: float
--- a/src/boragespring/faults/schedule.py
+++ b/src/boragespring/faults/schedule.py
@@ -3,10 +3,11 @@
 import itertools
 import random
 from enum import StrEnum
+from typing import Generic, TypeVar
 
 from attrs import frozen
 
-__all__ = ["PLANNED_KINDS", "Fault", "FaultKind", "draw_faults"]
+__all__ = ["PLANNED_KINDS", "Fault", "FaultKind", "SeededFault", "draw_faults"]
 
 
 class FaultKind(StrEnum):
@@ -36,13 +37,16 @@
 DURATION_MIN_S, DURATION_MAX_S = 0.1, 0.6
 
 
+K = TypeVar("K", bound=StrEnum)
+
+
 @frozen
-class Fault:
+class SeededFault(Generic[K]):
     """One fault of a run.
 
     Parameters
     ----------
-    kind : FaultKind
+    kind : StrEnum
         What goes wrong.
     at_s, duration_s : float
         When, counted from the first request, and for how long.
@@ -50,12 +54,15 @@
         Which target; taken modulo the number of targets.
     """
 
-    kind: FaultKind
+    kind: K
     at_s: float
     duration_s: float
     choice: int
 
 
+Fault = SeededFault[FaultKind]
+
+
 def draw_faults(seed: int) -> tuple[Fault, ...]:
     """Return the faults of a seed: each kind alone, then each pair, and again."""
     kinds = tuple(FaultKind)
--- a/src/boragespring/faults/verdict.py
+++ b/src/boragespring/faults/verdict.py
@@ -34,7 +34,7 @@
 
     Parameters
     ----------
-    kind : BreachKind
+    kind : StrEnum
         Promise that was broken.
     marker : str
         Request that it concerns; empty for the deployment.
@@ -42,7 +42,7 @@
         What was seen.
     """
 
-    kind: BreachKind
+    kind: StrEnum
     marker: str
     detail: str
 
--- a/src/boragespring/soak/schedule.py
+++ b/src/boragespring/soak/schedule.py
@@ -3,7 +3,7 @@
 import random
 from enum import StrEnum
 
-from attrs import frozen
+from boragespring.faults import SeededFault
 
 __all__ = ["PLANNED_KINDS", "SoakFault", "SoakKind", "draw_faults"]
 
@@ -49,24 +49,7 @@
 PLANNED_EVERY = 4
 
 
-@frozen
-class SoakFault:
-    """One fault of a run.
-
-    Parameters
-    ----------
-    kind : SoakKind
-        What goes wrong.
-    at_s, duration_s : float
-        When, counted from the first request, and for how long.
-    choice : int
-        Which target; taken modulo the number of targets.
-    """
-
-    kind: SoakKind
-    at_s: float
-    duration_s: float
-    choice: int
+SoakFault = SeededFault[SoakKind]
 
 
 def draw_faults(seed: int) -> tuple[SoakFault, ...]:
--- a/src/boragespring/soak/tests/test_soak.py
+++ b/src/boragespring/soak/tests/test_soak.py
@@ -101,4 +101,4 @@
 async def test_gateways_keep_their_promises(tmp_path, seed):
     report = await run_soak(seed, tmp_path, network=seed)
     assert not report.breaches, report.describe()
-    assert report.statuses[200] > 0.5 * report.statuses.total()
+    assert report.endings["status_200"] > 0.5 * report.endings.total()
--- a/src/boragespring/soak/verdict.py
+++ b/src/boragespring/soak/verdict.py
@@ -6,10 +6,11 @@
 
 from attrs import frozen
 
+from boragespring.faults import Breach
 from boragespring.platform.emulator import EmulatedPlatform
 from boragespring.soak.callers import Received, RequestKind
 
-__all__ = ["KeyRemoval", "SoakBreach", "SoakBreachKind", "judge"]
+__all__ = ["KeyRemoval", "SoakBreachKind", "judge"]
 
 OK, UNAUTHORIZED = 200, 401
 #: Statuses that promise that a request has not run and never will.
@@ -32,15 +33,6 @@
     EXIT_CODE = "exit_code"
 
 
-@frozen
-class SoakBreach:
-    """One broken promise."""
-
-    kind: SoakBreachKind
-    request_id: str
-    detail: str
-
-
 @frozen
 class KeyRemoval:
     """A key that was taken away, and when all gateways had to know.
@@ -66,7 +58,7 @@
     platform: EmulatedPlatform,
     removals: Sequence[KeyRemoval],
     is_planned: bool,
-) -> list[SoakBreach]:
+) -> list[Breach]:
     """Return every promise that a run broke."""
     runs = Counter(
         [
@@ -76,7 +68,7 @@
     )
     bodies = {one.body for one in platform.services.values()}
     return [
-        SoakBreach(kind, one.request_id, f"{detail}; {_describe(one)}")
+        Breach(kind, one.request_id, f"{detail}; {_describe(one)}")
         for one in received
         for kind, detail in (
             *_judge_runs(one, runs[one.request_id]),
