Let two gateways of each zone watch the store for the others

Change: the first two gateways of each zone watch and hand each change on over their links; the others rest while their copy is confirmed, take a whole copy where a change is missing, and watch themselves when confirmations stay away. With up to two gateways a zone all watch, as before. Tests: a resting follower takes what another hands on, notices a gap and does not bring back what was removed; few gateways watch for the others of their zone (also when the watching ones stop); who watches, how often the store is asked.

--- a/src/boragespring/composition/gateway.py
+++ b/src/boragespring/composition/gateway.py
@@ -52,6 +52,7 @@
     CopySharing,
     CopySharingSettings,
     EvacuationSharing,
+    GatewayPlace,
     LoadSharing,
     LoadSharingSettings,
     Presence,
@@ -98,7 +99,8 @@
     )
     evacuations = EvacuationSharing(peers.dispatcher, peers.links)
     forwarder = _build_forwarder(context, gate, evacuations)
-    turns = WatchTurns(settings.name, peers.names)
+    own_place = GatewayPlace(settings.name, settings.availability_zone)
+    turns = WatchTurns(own_place, peers.places)
     following = _build_following(settings, registry, holder, fleet, peers, turns, log)
     inspection = Inspection(
         fleet=fleet,
@@ -201,6 +203,10 @@
         }
     )
     follower = PrefixFollower(store, ALL_KEYS, readers, StoreContactLog(log))
+    follower.may_rest = lambda: (
+        not turns.is_watcher()
+        and time.monotonic() - follower.complete_at_s < turns.age_limit_s()
+    )
     copies = CopySharing(
         follower, peers.dispatcher, peers.links, CopySharingSettings(), log
     )
@@ -277,6 +283,11 @@
         """Return the names of the gateways with an open link."""
         return [link.peer.name for link in self.links()]
 
+    def places(self) -> list[GatewayPlace]:
+        """Return names and availability zones of the same."""
+        peers = (link.peer for link in self.links())
+        return [GatewayPlace(one.name, one.availability_zone) for one in peers]
+
     async def close(self) -> None:
         """Dial no more, and close the links that were dialled."""
         self.entries.stop()
--- a/src/boragespring/platform/tests/test_outages.py
+++ b/src/boragespring/platform/tests/test_outages.py
@@ -246,3 +246,30 @@
         for process in platform.gateways:
             assert await status_of(session, process) == 401
         assert not any(told(one, "peer_down") for one in platform.gateways)
+
+
+async def test_few_gateways_watch_for_the_others_of_their_zone(session):
+    async with deployment(services=1, gateways=5) as platform:
+        await until(
+            lambda: all(len(told(g, "peer_up")) >= 4 for g in platform.gateways)
+        )
+        calls = platform.store.calls
+        await asyncio.sleep(2.5)
+        before = calls["kv-watch"]
+        for _ in range(10):
+            platform.configure()
+            await asyncio.sleep(0.05)
+        # Two watch; all five would ask once for each change.
+        assert calls["kv-watch"] - before < 30
+        for count in (5, 3):
+            platform.keys = {"coop": [f"key-{count}"]}
+            platform.configure()
+            await asyncio.sleep(0.3)
+            for process in platform.gateways:
+                assert await status_of(session, process) == 401
+                assert await status_of(session, process, key=f"key-{count}") == 200
+            # Those that watched are gone; others of the zone take their part.
+            for process in platform.gateways[:2]:
+                await process.gateway.stop()
+            del platform.gateways[:2]
+            await asyncio.sleep(0.5)
--- a/src/boragespring/sharing/__init__.py
+++ b/src/boragespring/sharing/__init__.py
@@ -7,12 +7,17 @@
 from boragespring.sharing.evacuations import EvacuationSharing
 from boragespring.sharing.loads import LoadSharing, LoadSharingSettings
 from boragespring.sharing.presence import Presence, PresenceSettings
-from boragespring.sharing.watch_turns import WatchTurns, WatchTurnSettings
+from boragespring.sharing.watch_turns import (
+    GatewayPlace,
+    WatchTurns,
+    WatchTurnSettings,
+)
 
 __all__ = [
     "CopySharing",
     "CopySharingSettings",
     "EvacuationSharing",
+    "GatewayPlace",
     "LoadSharing",
     "LoadSharingSettings",
     "Presence",
--- a/src/boragespring/sharing/copies.py
+++ b/src/boragespring/sharing/copies.py
@@ -1,4 +1,8 @@
-"""Get the store's content from other gateways while the store is away."""
+"""Hand the store's content on between gateways.
+
+Those that watch hand on each change; a copy of another gateway is taken over
+where changes are missing, or while the store is away.
+"""
 
 import asyncio
 import contextlib
@@ -9,9 +13,10 @@
 
 from boragespring.decisions import DecisionLog
 from boragespring.links import CallFailedError, Dispatcher, Link, LinkClosedError
-from boragespring.sharing.messages import CopyAge, CopyReply, ReadCopy
+from boragespring.sharing.messages import CopyAge, CopyReply, ReadCopy, StoreChanges
 from boragespring.store import KeyValue
 from boragespring.store.follower import PrefixFollower
+from boragespring.store.store import WatchBatch, WatchEvent
 
 __all__ = ["CopySharing", "CopySharingSettings"]
 
@@ -80,14 +85,18 @@
         self._follower = follower
         self._links = links
         self._told_answer_at_s = float("-inf")
+        #: Whether changes that another gateway handed on are missing here.
+        self._has_gap = False
         self._settings = settings
         self._log = log
         self._clock = clock
         self._offers: dict[str, _Offer] = {}
         dispatcher.on(CopyAge, self._note_age)
+        dispatcher.on(StoreChanges, self._take_changes)
         dispatcher.on_call(ReadCopy, self._answer)
         dispatcher.on_tick(self._tell_age)
         dispatcher.on_down(self._forget)
+        follower.batch_hooks.append(self._hand_on)
 
     async def run(self) -> None:
         """Look at the ages until cancelled."""
@@ -112,7 +121,7 @@
         best = max(offers, key=lambda offer: offer.complete_at_s, default=None)
         if best is None:
             return None
-        is_lost = self._follower.is_store_lost
+        is_lost = self._follower.is_store_lost or self._has_gap
         if is_lost and best.content_revision > self._follower.content_revision:
             return best
         own_at_s = self._follower.complete_at_s
@@ -138,6 +147,7 @@
             return
         items = [KeyValue(key, value, 0, rev) for key, value, rev in reply.items]
         complete_at_s = begun_s - reply.age_ms / 1000
+        self._has_gap = False
         self._follower.take_copy(
             items, reply.revision, reply.content_revision, complete_at_s
         )
@@ -148,6 +158,28 @@
             age_ms=reply.age_ms,
         )
 
+    def _hand_on(self, after_revision: int, batch: WatchBatch) -> None:
+        rows = [
+            [event.key, event.item.value if event.item else None, event.revision]
+            for event in batch.events
+        ]
+        changes = StoreChanges(after_revision, batch.revision, rows)
+        for link in self._links():
+            with contextlib.suppress(LinkClosedError):
+                link.send(changes)
+
+    def _take_changes(self, _: Link, told: StoreChanges) -> None:
+        events = tuple(
+            WatchEvent(
+                key,
+                None if value is None else KeyValue(key, value, 0, revision),
+                revision,
+            )
+            for key, value, revision in told.rows
+        )
+        batch = WatchBatch(told.revision, events)
+        self._has_gap |= not self._follower.take_batch(told.after_revision, batch)
+
     def _note_age(self, link: Link, told: CopyAge) -> None:
         complete_at_s = self._clock() - told.age_ms / 1000
         self._offers[link.peer.name] = _Offer(
--- a/src/boragespring/sharing/messages.py
+++ b/src/boragespring/sharing/messages.py
@@ -13,6 +13,7 @@
     "ReadCopy",
     "ServerLeaving",
     "ServerUnreachable",
+    "StoreChanges",
 ]
 
 
@@ -114,3 +115,23 @@
     """A gateway that asked a server for its report did not reach it."""
 
     server_id: str
+
+
+@message(148)
+class StoreChanges:
+    """Changes that a gateway's watch of the store brought.
+
+    Parameters
+    ----------
+    after_revision : int
+        Store revision that they follow on without a gap.
+    revision : int
+        Store revision up to which they are complete.
+    rows : list
+        One row for each change: key, value or nil where the key was removed,
+        revision.
+    """
+
+    after_revision: int
+    revision: int
+    rows: list[Any]
--- a/src/boragespring/sharing/tests/test_watch_turns.py
+++ b/src/boragespring/sharing/tests/test_watch_turns.py
@@ -2,12 +2,19 @@
 
 import pytest
 
-from boragespring.sharing import WatchTurns
+from boragespring.sharing import GatewayPlace, WatchTurns
 
 
-def fleet(count):
-    names = [f"gateway-{number:02}" for number in range(count)]
-    return [WatchTurns(name, lambda: names) for name in names]
+def fleet(count, zones=3):
+    places = [
+        GatewayPlace(f"gateway-{number:03}", f"zone-{number % zones}")
+        for number in range(count)
+    ]
+    return [WatchTurns(place, lambda: places) for place in places]
+
+
+def watching(gateways):
+    return [one for one in gateways if one.is_watcher()]
 
 
 def answers_s(turns, until_s):
@@ -21,7 +28,7 @@
 
 @pytest.mark.parametrize("count", [1, 2, 5, 28, 400])
 def test_copies_stay_younger_than_the_limit_after_a_change(count):
-    gateways = fleet(count)
+    gateways = watching(fleet(count))
     until_s = 3 * gateways[0].wait_s(False)
     times_s = sorted(t for one in gateways for t in answers_s(one, until_s))
     gaps_s = [b - a for a, b in zip([0.0, *times_s], times_s, strict=False)]
@@ -41,7 +48,18 @@
 
 def test_the_store_is_asked_no_more_often_by_many():
     def calls_per_s(count):
-        return count / fleet(count)[0].wait_s(False)
+        gateways = watching(fleet(count))
+        return len(gateways) / gateways[0].wait_s(False)
 
     assert calls_per_s(5) <= 2.5
-    assert calls_per_s(25) <= 2.5
+    assert calls_per_s(400) <= 3.0
+
+
+def test_few_gateways_of_each_zone_watch_and_the_same_for_all():
+    assert len(watching(fleet(5))) == 5
+    assert len(watching(fleet(28))) == 6
+    assert len(watching(fleet(400, zones=13))) == 26
+    # A zone that is parted from the others has watchers of its own.
+    alone = [GatewayPlace(f"g{number}", "zone-0") for number in range(9)]
+    parted = [WatchTurns(place, lambda: alone) for place in alone]
+    assert len(watching(parted)) == 2
--- a/src/boragespring/sharing/watch_turns.py
+++ b/src/boragespring/sharing/watch_turns.py
@@ -1,26 +1,37 @@
-"""How long gateways wait in their watches of the store, one after another.
+"""Which gateways watch the store, and how long each of them waits.
 
-The store answers a watch at the next change or after a wait. Gateways tell each
-other how recent their copies are. Where their waits end in turn, all copies are
-confirmed often while each gateway asks seldom, and an outage of the store is
-noticed soon by all.
+The store answers a watch at the next change or after a wait, and counts each
+answer as a call. A few gateways of each availability zone watch and hand the
+changes on; where their waits end in turn, all copies are confirmed often while
+each of them asks seldom, and an outage of the store is noticed soon by all.
 """
 
 from collections.abc import Callable, Iterable
+from itertools import groupby, islice
 
 from attrs import frozen
 
-__all__ = ["WatchTurnSettings", "WatchTurns"]
+__all__ = ["GatewayPlace", "WatchTurnSettings", "WatchTurns"]
+
+
+@frozen
+class GatewayPlace:
+    """Name and availability zone of a gateway."""
+
+    name: str
+    availability_zone: str
 
 
 @frozen
 class WatchTurnSettings:
-    """Waits of watches.
+    """Number of watching gateways and their waits.
 
     Parameters
     ----------
-    wait_per_gateway_s : float
-        Wait for each gateway: the more there are, the longer each may wait.
+    watchers_per_zone : int
+        Gateways of each availability zone that watch; the others rest.
+    wait_per_watcher_s : float
+        Wait for each of them: the more there are, the longer each may wait.
     wait_min_s, wait_max_s : float
         Bounds of the wait.
     missed_turns : int
@@ -29,7 +40,8 @@
         Time for an answer and for the word of it to the other gateways.
     """
 
-    wait_per_gateway_s: float = 0.4
+    watchers_per_zone: int = 2
+    wait_per_watcher_s: float = 0.4
     wait_min_s: float = 2.0
     wait_max_s: float = 10.0
     missed_turns: int = 2
@@ -41,44 +53,60 @@
 
     Parameters
     ----------
-    own_name : str
-        Name of this gateway.
-    peer_names : callable
-        Returns the other gateways.
+    own : GatewayPlace
+        This gateway.
+    peers : callable
+        Returns the other gateways with an open link.
     settings : WatchTurnSettings, optional
-        Waits.
+        Numbers and waits.
     """
 
     def __init__(
         self,
-        own_name: str,
-        peer_names: Callable[[], Iterable[str]],
+        own: GatewayPlace,
+        peers: Callable[[], Iterable[GatewayPlace]],
         settings: WatchTurnSettings | None = None,
     ) -> None:
-        self._own_name = own_name
-        self._peer_names = peer_names
+        self._own = own
+        self._peers = peers
         self._settings = settings or WatchTurnSettings()
 
+    def is_watcher(self) -> bool:
+        """Return whether this gateway watches for others, or all do."""
+        return self._own.name in self._watchers()
+
     def wait_s(self, is_after_change: bool) -> float:
         """Return how long the next watch may wait.
 
-        A change ends the waits of all gateways at once; from then on each takes
-        its turn.
+        A change ends the waits of all watching gateways at once; from then on
+        each takes its turn.
         """
-        names = sorted({self._own_name, *self._peer_names()})
+        names = self._watchers()
         whole_s = self._whole_s(len(names))
-        if not is_after_change:
+        if not is_after_change or self._own.name not in names:
             return whole_s
-        return whole_s * (1 + names.index(self._own_name)) / len(names)
+        return whole_s * (1 + names.index(self._own.name)) / len(names)
 
     def age_limit_s(self) -> float:
         """Return the age of a copy from which the store is taken to be away."""
-        count = len({self._own_name, *self._peer_names()})
+        count = len(self._watchers())
         whole_s = self._whole_s(count)
         turns_s = self._settings.missed_turns * whole_s / count
         return min(turns_s, whole_s) + self._settings.slack_s
 
+    def _watchers(self) -> list[str]:
+        places = sorted(
+            {self._own, *self._peers()},
+            key=lambda one: (one.availability_zone, one.name),
+        )
+        zones = groupby(places, key=lambda one: one.availability_zone)
+        return [
+            one.name
+            for _, members in zones
+            for one in islice(members, self._settings.watchers_per_zone)
+        ]
+
     def _whole_s(self, count: int) -> float:
-        wait_s = self._settings.wait_per_gateway_s * count
+        wait_s = self._settings.wait_per_watcher_s * count
         bounded_s = max(wait_s, self._settings.wait_min_s)
         return min(bounded_s, self._settings.wait_max_s)
--- a/src/boragespring/store/follower.py
+++ b/src/boragespring/store/follower.py
@@ -13,6 +13,7 @@
     KeyValue,
     KeyValueStore,
     StoreError,
+    WatchBatch,
     WatchCompactedError,
     WatchEvent,
 )
@@ -30,10 +31,17 @@
         Pause after the first failed call; it doubles with each further one.
     retry_pause_max_s : float
         Longest pause; it bounds how late a returning store is noticed.
+    rest_look_s : float
+        Time between two looks at whether others still watch for this process.
     """
 
     retry_pause_s: float = 0.1
     retry_pause_max_s: float = 0.4
+    rest_look_s: float = 0.05
+
+
+#: Told of a batch that the own watch brought, and the revision it follows on.
+BatchHook = Callable[[int, WatchBatch], None]
 
 
 class FollowsPrefix(Protocol):
@@ -106,6 +114,9 @@
         self._lost_at_s: float | None = None
         self._has_lapsed = False
         self._failures = 0
+        #: Returns whether other processes watch for this one.
+        self.may_rest: Callable[[], bool] = _never
+        self.batch_hooks: list[BatchHook] = []
 
     @property
     def revision(self) -> int:
@@ -155,14 +166,32 @@
         self._replace(items, revision)
         self._content_revision = content_revision
         self._target.on_snapshot(items, False)
+        if self._next_revision:
+            self._next_revision = max(self._next_revision, revision + 1)
         self._note_complete(revision, complete_at_s)
 
+    def take_batch(self, after_revision: int, batch: WatchBatch) -> bool:
+        """Take in what another process's watch brought.
+
+        Returns
+        -------
+        is_known : bool
+            False when changes are missing in between.
+        """
+        if not self._next_revision or after_revision >= self._next_revision:
+            return False
+        self._apply_batch(batch)
+        self._note_complete(batch.revision, self._clock())
+        return True
+
     async def run(self) -> None:
         """Follow the prefix until cancelled."""
         while True:
             try:
                 if not self._next_revision:
                     await self._read_all()
+                while self.may_rest():  # noqa: ASYNC110
+                    await asyncio.sleep(self._settings.rest_look_s)
                 await self._watch()
             except WatchCompactedError:
                 self._next_revision = 0
@@ -187,10 +216,14 @@
         async with aclosing(batches):
             async for batch in batches:
                 self._note_answer()
-                for event in batch.events:
-                    self._apply(event)
-                self._next_revision = batch.revision + 1
+                after_revision = self._next_revision - 1
+                self._apply_batch(batch)
                 self._note_complete(batch.revision, self._clock())
+                if batch.events:
+                    for hook in self.batch_hooks:
+                        hook(after_revision, batch)
+                if self.may_rest():
+                    return
 
     def _replace(self, items: Sequence[KeyValue], revision: int) -> None:
         self._items = {item.key: item for item in items}
@@ -198,6 +231,13 @@
         newest = max((item.mod_revision for item in items), default=0)
         self._content_revision = max(self._content_revision, newest)
 
+    def _apply_batch(self, batch: WatchBatch) -> None:
+        # The own watch and those of other processes bring the same changes.
+        fresh = (one for one in batch.events if one.revision >= self._next_revision)
+        for event in fresh:
+            self._apply(event)
+        self._next_revision = max(self._next_revision, batch.revision + 1)
+
     def _apply(self, event: WatchEvent) -> None:
         # A range of several pages, or a copy of another process, may hold a
         # change that the watch repeats.
@@ -239,3 +279,7 @@
         pause_s = self._settings.retry_pause_s * 2.0 ** min(self._failures - 1, 8)
         pause_s = min(pause_s, self._settings.retry_pause_max_s)
         return pause_s * random.uniform(0.5, 1.0)
+
+
+def _never() -> bool:
+    return False
--- a/src/boragespring/store/tests/test_follower.py
+++ b/src/boragespring/store/tests/test_follower.py
@@ -120,3 +120,37 @@
         await until(lambda: second.values)
         assert (first.values, second.values) == ({"a/1": b"x"}, {"b/1": b"y"})
         assert store.calls["watch"] == 1
+
+
+async def test_a_resting_follower_takes_what_another_hands_on():
+    keyspace = Keyspace()
+    put(keyspace, "a", b"1")
+    async with following(keyspace) as (_, watching, _), following(keyspace) as found:
+        _, resting, target = found
+        is_handing_on = True
+        handed = []
+
+        def hand_on(after_revision, batch):
+            if is_handing_on:
+                handed.append(resting.take_batch(after_revision, batch))
+
+        watching.batch_hooks.append(hand_on)
+        resting.may_rest = lambda: True
+        put(keyspace, "a", b"2")
+        await until(lambda: handed and target.values == {"a": b"2"})
+        put(keyspace, "b", b"1")
+        keyspace.apply(
+            [ConditionalWrite("a", None, keyspace.get("a").item.mod_revision)]
+        )
+        await until(lambda: target.values == {"b": b"1"})
+        # What is missing in between is noticed, and an older put stays undone.
+        is_handing_on = False
+        put(keyspace, "c", b"1")
+        revision = put(keyspace, "d", b"1")
+        await until(lambda: watching.revision >= revision)
+        is_handing_on = True
+        put(keyspace, "e", b"1")
+        await until(lambda: handed[-1] is False)
+        assert "e" not in target.values
+        resting.may_rest = lambda: False
+        await until(lambda: target.values == dict.fromkeys("bcde", b"1"))
