Emulate rates of the store, preemption and broken events

Cause: the emulator had no 429 by rate, no runs set back for memory and no bytes broken off within an event, which the issue lists. Change: the store turns calls away beyond a rate; an engine whose memory is full sets its newest run back and reads it in again, and answers 404 for its copy meanwhile; a stream can break off in the middle of an event. Tests: changes are in force while most calls are turned away; a run that is set back leaves with the others and ends complete; an event that is broken off is not passed on.

--- a/src/boragespring/platform/emulator/engine.py
+++ b/src/boragespring/platform/emulator/engine.py
@@ -58,6 +58,7 @@
     events_max: int
     events: int = 0
     is_stopped: bool = False
+    is_preempted: bool = False
 
     def tokens(self, spec: EngineSpec) -> int:
         return self.prompt_tokens + self.events * spec.tokens_per_event
@@ -93,6 +94,9 @@
     seen: list[dict[str, str]] = field(factory=list)
     started: list[str] = field(factory=list)
     refuses_copies: bool = False
+    #: Breaks the next stream off in the middle of its event of this number.
+    breaks_at_event: int = 0
+    preemptions: int = 0
     leaves_at_s: float | None = None
     port: int = 0
     _copy_ids: "itertools.count[int]" = field(factory=lambda: itertools.count(1))
@@ -108,7 +112,7 @@
     def used_tokens(self) -> int:
         """Memory of runs and of copies."""
         held = [*self.runs.values(), *(copy.run for copy in self.copies.values())]
-        return sum(run.tokens(self.spec) for run in held)
+        return sum(run.tokens(self.spec) for run in held if not run.is_preempted)
 
     async def start(self) -> None:
         """Open the port."""
@@ -158,7 +162,7 @@
     async def _move(self, request: web.Request) -> web.Response:
         body = await request.json()
         run = self.runs.get(body["id"])
-        if run is None or not run.events:
+        if run is None or not run.events or run.is_preempted:
             return web.json_response({}, status=404)
         target = self.peers.get(body["target"])
         if target is None or target.refuses_copies:
@@ -231,12 +235,38 @@
             await response.write(_event(number))
         while run.events < run.events_max:
             await asyncio.sleep(self.spec.event_s)
+            await self._wait_for_memory(run)
             if run.is_stopped:
                 return _cut(request, response)
             run.events += 1
+            if run.events == self.breaks_at_event:
+                self.breaks_at_event = 0
+                await response.write(_event(run.events)[:-6])
+                return _cut(request, response)
             await response.write(_event(run.events))
         return response
 
+    async def _wait_for_memory(self, run: _Run) -> None:
+        """Set the newest run back while the memory is full; read it in again."""
+        if not self._is_set_back(run):
+            return
+        run.is_preempted = True
+        self.preemptions += 1
+        while self._is_set_back(run):  # noqa: ASYNC110
+            await asyncio.sleep(self.spec.event_s)
+        await asyncio.sleep(run.tokens(self.spec) / self.spec.prefill_tokens_per_s)
+        run.is_preempted = False
+
+    def _is_set_back(self, run: _Run) -> bool:
+        used_tokens = self.used_tokens
+        if run.is_preempted:
+            return used_tokens + run.tokens(self.spec) > self.spec.memory_tokens
+        return used_tokens > self.spec.memory_tokens and run is self._newest()
+
+    def _newest(self) -> _Run | None:
+        running = [run for run in self.runs.values() if not run.is_preempted]
+        return running[-1] if len(running) > 1 else None
+
 
 def _event(number: int) -> bytes:
     return f"id: {number}\ndata: {json.dumps({'n': number})}\n\n".encode()
--- a/src/boragespring/platform/emulator/store.py
+++ b/src/boragespring/platform/emulator/store.py
@@ -3,7 +3,7 @@
 import asyncio
 import base64
 import time
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Awaitable, Callable
 from enum import Enum, auto
 from typing import Any
@@ -55,6 +55,8 @@
         Next writes whose answer is lost.
     late_write_s : float
         Time after which a lost write takes effect; 0 for at once.
+    calls_per_s : float
+        Rate beyond which calls get 429.
     """
 
     keyspace: Keyspace = field(factory=Keyspace)
@@ -62,10 +64,13 @@
     delay_s: float = 0.0
     lost_writes: int = 0
     late_write_s: float = 0.0
+    calls_per_s: float = float("inf")
+    refused: int = 0
     calls: Counter[str] = field(factory=Counter)
     port: int = 0
     _runner: web.AppRunner | None = None
     _late: set["asyncio.Task[None]"] = field(factory=set)
+    _call_times_s: deque[float] = field(factory=deque)
 
     @property
     def address(self) -> str:
@@ -112,7 +117,8 @@
         self.calls[request.path.split("/")[1]] += 1
         if self.mode is StoreMode.BUSY:
             return web.json_response({}, status=503)
-        if self.mode is StoreMode.REFUSING:
+        if self.mode is StoreMode.REFUSING or self._is_over_rate():
+            self.refused += 1
             return web.json_response({}, status=429)
         if self.mode is StoreMode.RESETTING:
             return _reset(request)
@@ -121,6 +127,15 @@
         await asyncio.sleep(self.delay_s)
         return await handler(request)
 
+    def _is_over_rate(self) -> bool:
+        now_s = time.monotonic()
+        while self._call_times_s and self._call_times_s[0] < now_s - 1.0:
+            self._call_times_s.popleft()
+        if len(self._call_times_s) >= self.calls_per_s:
+            return True
+        self._call_times_s.append(now_s)
+        return False
+
     async def _get(self, request: web.Request) -> web.Response:
         result = self.keyspace.get(request.query["key"])
         if result.item is None:
--- a/src/boragespring/platform/tests/test_forwarding_streams.py
+++ b/src/boragespring/platform/tests/test_forwarding_streams.py
@@ -123,6 +123,38 @@
         assert len(_all_started(platform)) == 1
 
 
+async def test_an_event_that_is_broken_off_is_not_passed_on(session):
+    async with deployment(engines=1) as platform:
+        platform.engines["engine-0"].breaks_at_event = 7
+        body = b""
+        async with draft(session, platform.gateways[0], "s1") as response:
+            with pytest.raises(aiohttp.ClientError):
+                async for chunk in response.content.iter_any():
+                    body += chunk
+        assert body.endswith(b"\n\n")
+        assert body.count(b"id: ") == 6
+        assert len(_all_started(platform)) == 1
+
+
+async def test_a_run_that_is_set_back_ends_complete_and_leaves_with_the_others(session):
+    spec = EngineSpec(memory_tokens=2900)
+    async with deployment(engines=1, engine_spec=spec) as platform:
+        process = platform.gateways[0]
+        calls = [
+            asyncio.create_task(_read(session, process, f"s{n}", prompt(1000, 600)))
+            for n in range(2)
+        ]
+        first = platform.engines["engine-0"]
+        await until(lambda: first.preemptions)
+        await platform.add_engine("engine-1")
+        await until(lambda: len(process.gateway.status()["servers"]) == 2)
+        end = platform.reclaim("engine-0", notice_s=1.2)
+        results = await asyncio.gather(*calls)
+        await end
+        assert all(events == list(range(1, 151)) for events, _ in results)
+        assert len(_all_started(platform)) == 2
+
+
 async def test_the_same_id_twice_at_once_ends_both(session):
     spec = EngineSpec(prefill_tokens_per_s=10_000.0)
     async with deployment(engines=1, engine_spec=spec) as platform:
--- a/src/boragespring/platform/tests/test_outages.py
+++ b/src/boragespring/platform/tests/test_outages.py
@@ -42,6 +42,18 @@
         assert await status_of(session, process, key="key-9") == 401
 
 
+async def test_a_store_that_turns_most_calls_away_by_its_rate(session):
+    async with deployment(services=1, gateways=3) as platform:
+        platform.store.calls_per_s = 3.0
+        for count in range(3):
+            platform.keys = {"coop": [f"key-{count}"]}
+            platform.configure()
+            await asyncio.sleep(2.0)
+            for process in platform.gateways:
+                assert await status_of(session, process, key=f"key-{count}") == 200
+        assert platform.store.refused
+
+
 async def test_a_change_is_in_force_at_once(session):
     async with deployment(services=1) as platform:
         process = platform.gateways[0]
