Ask servers themselves 0.7 s after an own call to the store failed

Change: a gateway whose own call failed takes the store to be away once its copy is 0.7 s old; the copies of the others confirm it each 0.5 s where it is alone.

--- a/src/boragespring/composition/gateway.py
+++ b/src/boragespring/composition/gateway.py
@@ -108,7 +108,7 @@
         settings=InspectionSettings(),
         own_name=settings.name,
         peer_names=peers.names,
-        copy_age_limit_s=turns.age_limit_s,
+        copy_age_limit_s=lambda: turns.age_limit_s(following.is_store_lost()),
         copy_age_s=following.copy_age_s,
         serves_reports=holder.has_engine,
         tell_leaving=evacuations.tell_leaving,
@@ -172,11 +172,14 @@
         What is closed at the end.
     copy_age_s : callable
         Returns the age of what the store told.
+    is_store_lost : callable
+        Returns whether the last own call to the store failed.
     """
 
     loops: tuple[Callable[[], Coroutine[None, None, None]], ...]
     closers: tuple[Callable[[], Awaitable[None]], ...]
     copy_age_s: Callable[[], float]
+    is_store_lost: Callable[[], bool]
 
 
 def _build_following(
@@ -214,6 +217,7 @@
         loops=(follower.run, presence.run, copies.run),
         closers=(presence.withdraw, peers.close, store.close),
         copy_age_s=lambda: time.monotonic() - follower.complete_at_s,
+        is_store_lost=lambda: follower.is_store_lost,
     )
 
 
--- a/src/boragespring/platform/tests/test_outages.py
+++ b/src/boragespring/platform/tests/test_outages.py
@@ -173,6 +173,18 @@
         assert all(sorted(states) == [False, True] for states in known)
 
 
+async def test_servers_are_asked_soon_once_the_store_resets_calls(session):
+    async with deployment(engines=1, gateways=1) as platform:
+        process = platform.gateways[0]
+        await asyncio.sleep(0.3)
+        platform.store.mode = StoreMode.RESETTING
+        platform.configure()
+        begun_s = time.monotonic()
+        await until(lambda: told(process, "inspection"))
+        # A single gateway without failed calls waits for its whole watch.
+        assert time.monotonic() - begun_s < 1.5
+
+
 async def test_a_stop_refuses_what_it_would_cut_and_ends_the_rest(session):
     async with deployment(engines=1, services=1, gateways=2) as platform:
         process = platform.gateways[0]
--- a/src/boragespring/sharing/watch_turns.py
+++ b/src/boragespring/sharing/watch_turns.py
@@ -38,6 +38,9 @@
         Turns without an answer after which the store is taken to be away.
     slack_s : float
         Time for an answer and for the word of it to the other gateways.
+    lost_age_limit_s : float
+        Age of a copy from which the store is taken to be away by a gateway
+        whose own call to it failed; more than a turn, as it may be alone.
     """
 
     watchers_per_zone: int = 2
@@ -46,6 +49,7 @@
     wait_max_s: float = 10.0
     missed_turns: int = 2
     slack_s: float = 0.4
+    lost_age_limit_s: float = 0.7
 
 
 class WatchTurns:
@@ -87,8 +91,10 @@
             return whole_s
         return whole_s * (1 + names.index(self._own.name)) / len(names)
 
-    def age_limit_s(self) -> float:
+    def age_limit_s(self, is_own_call_lost: bool = False) -> float:
         """Return the age of a copy from which the store is taken to be away."""
+        if is_own_call_lost:
+            return self._settings.lost_age_limit_s
         count = len(self._watchers())
         whole_s = self._whole_s(count)
         turns_s = self._settings.missed_turns * whole_s / count
