Let a stream go on from a completed copy when its server ends in the move

Cause (read from the moves' code after the traces of the cut streams): a copy that was complete stayed unused when the server ended before the copy that stops the run was answered; by the pages a copy can be gone on from, and what it lacks is read in. Change: a stream remembers its last completed copy and goes on there when its leaving server breaks the stream without a handover. A turn put back in that moment names the server that it belongs to. Test: a server that ends within a move leaves the copy (cut before).

--- a/src/boragespring/forwarding/carrier.py
+++ b/src/boragespring/forwarding/carrier.py
@@ -1,6 +1,7 @@
 """Carry the events of a stream from its server, or its next one, to the caller."""
 
 import asyncio
+import contextlib
 
 from boragespring.forwarding.context import ForwardingContext
 from boragespring.forwarding.errors import ReplyBrokenError, ReplyLostError
@@ -73,14 +74,18 @@
             await self._caller.write(splitter.rest)
 
     async def _wait_handover(self) -> Handover | None:
-        pending = self._stream.handover
-        if pending is None:
-            return None
-        try:
-            async with asyncio.timeout(self._handover_wait_s):
-                return await asyncio.shield(pending)
-        except TimeoutError:
-            return None
+        """Return where the run goes on, or None when it ended with its server."""
+        stream = self._stream
+        pending = stream.handover
+        handover: Handover | None = None
+        if pending is not None:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(self._handover_wait_s):
+                    handover = await asyncio.shield(pending)
+        if handover is None and stream.server.is_leaving:
+            # The server has ended; a copy of a moment ago reads in what it lacks.
+            return stream.copy
+        return handover
 
     async def _resume(self, handover: Handover) -> ServerReply:
         stream = self._stream
--- a/src/boragespring/forwarding/relocation.py
+++ b/src/boragespring/forwarding/relocation.py
@@ -184,16 +184,20 @@
             elif await self._move(stream):
                 self._end(server.server_id, head.run_id)
             else:
-                self._put_back(evacuation, stream, head)
+                self._put_back(server, evacuation, stream, head)
 
     def _put_back(
-        self, evacuation: Evacuation, stream: RunningStream, run: LeavingRun
+        self,
+        server: BackendServer,
+        evacuation: Evacuation,
+        stream: RunningStream,
+        run: LeavingRun,
     ) -> None:
         """Let the other runs go first after a turn that came to nothing."""
         again = evolve(run, turn=run.turn + 1)
         stream.move_after_s = time.monotonic() + self._settings.retry_pause_s
         evacuation.add([again])
-        self._peers.announce(stream.server.server_id, [again])
+        self._peers.announce(server.server_id, [again])
 
     def _leaving_run(self, stream: RunningStream) -> LeavingRun:
         return LeavingRun(
@@ -282,7 +286,10 @@
         source, run_id = stream.server, stream.job.request_id
         for copies in range(1, self._settings.copies_max + 1):
             begun_s = time.monotonic()
-            await self._context.calls.copy_run(source, run_id, target.address, False)
+            copy = await self._context.calls.copy_run(
+                source, run_id, target.address, False
+            )
+            stream.copy = Handover(source, target, copy.copy_id)
             if time.monotonic() - begun_s < self._settings.small_copy_s:
                 return copies
             if self._is_notice_over(source):
--- a/src/boragespring/forwarding/running.py
+++ b/src/boragespring/forwarding/running.py
@@ -35,6 +35,8 @@
         Its load there, as the dispatch has entered it.
     target : BackendServer or None
         Server that the run is being moved to; it counts the run already.
+    copy : Handover or None
+        Where a copy of the run lies that could go on if its server ended now.
     move_after_s : float
         Monotonic time before which no further move is tried.
     """
@@ -47,6 +49,7 @@
     moves: int = 0
     handover: asyncio.Future[Handover | None] | None = None
     target: BackendServer | None = None
+    copy: Handover | None = None
     move_after_s: float = float("-inf")
     first_event_at_s: float = float("inf")
     longest_pause_s: float = 0.0
@@ -97,6 +100,7 @@
         self.server = target
         self.target = None
         self.handover = None
+        self.copy = None
         self.move_after_s = float("-inf")
         self.moves += 1
 
--- a/src/boragespring/platform/emulator/engine.py
+++ b/src/boragespring/platform/emulator/engine.py
@@ -231,6 +231,8 @@
         response.enable_chunked_encoding()
         await response.prepare(request)
         sent = int(request.headers.get(names.LAST_EVENT_ID) or 0)
+        # What a copy lacks is read in; its events have been sent.
+        run.events = max(run.events, sent)
         for number in range(sent + 1, run.events + 1):
             await response.write(_event(number))
         while run.events < run.events_max:
--- a/src/boragespring/platform/tests/test_forwarding_streams.py
+++ b/src/boragespring/platform/tests/test_forwarding_streams.py
@@ -111,6 +111,21 @@
             await large
 
 
+async def test_a_server_that_ends_within_a_move_leaves_the_copy(session):
+    # The copy that stops the run takes longer than the notice.
+    spec = EngineSpec(handover_s=1.0)
+    async with deployment(engines=2, engine_spec=spec) as platform:
+        call = asyncio.create_task(_read(session, platform.gateways[0], "s1"))
+        await until(lambda: _all_started(platform))
+        await asyncio.sleep(0.2)
+        leaving = next(one for one in platform.engines.values() if one.runs)
+        end = platform.reclaim(leaving.server_id, notice_s=0.4)
+        events, _ = await call
+        await end
+        assert events == list(range(1, 101))
+        assert len(_all_started(platform)) == 1
+
+
 async def test_a_crash_cuts_the_stream_and_joins_nothing(session):
     async with deployment(engines=2) as platform:
         async with draft(session, platform.gateways[0], "s1") as response:
