--- a/src/boragespring/forwarding/moves.py
+++ b/src/boragespring/forwarding/moves.py
@@ -20,6 +20,8 @@
         A copy that took less is followed by the last one, which stops the run.
     copies_max : int
         Most copies before the last one.
+    notice_end_s : float
+        Rest of a notice in which no further copy is begun before the last one.
     announce_wait_s : float
         Time for the announcements of other gateways to arrive.
     turn_pause_s : float
@@ -54,6 +56,7 @@
     notice_s: float = 1.6
     small_copy_s: float = 0.6
     copies_max: int = 3
+    notice_end_s: float = 0.3
     announce_wait_s: float = 0.012
     turn_pause_s: float = 0.005
     retry_pause_s: float = 0.1
