--- a/src/boragespring/faults/relay.py
+++ b/src/boragespring/faults/relay.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+from collections.abc import Callable
 
 from attrs import define, field
 
@@ -97,8 +98,8 @@
         self._pairs.add(pair)
         try:
             await asyncio.gather(
-                self._pass_on(pair, reader, far_writer, "drops_requests"),
-                self._pass_on(pair, far_reader, writer, "drops_replies"),
+                self._pass_on(pair, reader, far_writer, lambda: self.drops_requests),
+                self._pass_on(pair, far_reader, writer, lambda: self.drops_replies),
             )
         finally:
             self._pairs.discard(pair)
@@ -108,13 +109,13 @@
         pair: _Pair,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
-        drops: str,
+        is_dropping: Callable[[], bool],
     ) -> None:
         with contextlib.suppress(OSError):
             while data := await reader.read(READ_MAX_BYTES):
                 if self.delay_s:
                     await asyncio.sleep(self.delay_s)
-                if not pair.is_silent and not getattr(self, drops):
+                if not pair.is_silent and not is_dropping():
                     writer.write(data)
                     await writer.drain()
         # A silent connection tells neither end that the other one has closed.
--- a/src/boragespring/forwarding/evacuation.py
+++ b/src/boragespring/forwarding/evacuation.py
@@ -105,7 +105,8 @@
     def end(self, run_id: str) -> None:
         """Take a run out of the order."""
         run = self._runs.pop(run_id, None)
-        self._ended[run_id] = run.turn if run is not None else 0
+        turn = run.turn if run is not None else 0
+        self._ended[run_id] = max(turn, self._ended.get(run_id, 0))
 
     def _end_turn(self, run_id: str) -> None:
         if self._head_id == run_id:
--- a/src/boragespring/forwarding/tests/test_evacuation.py
+++ b/src/boragespring/forwarding/tests/test_evacuation.py
@@ -107,6 +107,11 @@
     assert order.head() is None
     order.add([evolve(again, turn=2)])
     assert order.head().run_id == "best"
+    # The word of its end may come twice.
+    order.end("best")
+    order.end("best")
+    order.add([again])
+    assert order.head() is None
 
 
 def test_a_full_server_is_asked_again_for_smaller_runs_or_later():
--- a/src/boragespring/platform/caller_connection.py
+++ b/src/boragespring/http/caller_connection.py
@@ -13,7 +13,7 @@
 from boragespring.catalog import CallerLimits
 from boragespring.decisions import DecisionLog
 
-__all__ = ["CallerConnection", "ConnectionServer"]
+__all__ = ["CallerConnection", "ConnectionServer", "head_bytes"]
 
 #: Longest single line; below it the limit on the whole head decides.
 LINE_MAX_BYTES = 64 * 2**10
@@ -130,3 +130,12 @@
     def __call__(self) -> web.RequestHandler:
         """Return the protocol of a new connection."""
         return CallerConnection(self, self._limits(), self._decisions)
+
+
+def head_bytes(request: web.BaseRequest) -> int:
+    """Return the size of the request line and the headers, as they were sent."""
+    separators = len(": \r\n")
+    fields = sum(
+        len(name) + len(value) + separators for name, value in request.raw_headers
+    )
+    return fields + len(request.method) + len(request.raw_path)
--- a/src/boragespring/platform/front_door.py
+++ b/src/boragespring/platform/front_door.py
@@ -21,8 +21,12 @@
     Refusal,
     RefusalReason,
 )
+from boragespring.http.caller_connection import (
+    CallerConnection,
+    ConnectionServer,
+    head_bytes,
+)
 from boragespring.platform import names
-from boragespring.platform.caller_connection import CallerConnection, ConnectionServer
 from boragespring.platform.caller_reply import HttpCallerReply
 from boragespring.settings import AddressSettings
 
@@ -147,7 +151,7 @@
     arrived_at_s = time.monotonic()
     headers = request.headers
     remaining_s = _milliseconds(headers.get(names.REMAINING_MS))
-    if _head_bytes(request) > limits.header_bytes:
+    if head_bytes(request) > limits.header_bytes:
         return Refusal(RefusalReason.HEAD_TOO_LARGE, was_not_run=True)
     try:
         async with asyncio.timeout(remaining_s):
@@ -173,15 +177,6 @@
     )
 
 
-def _head_bytes(request: web.BaseRequest) -> int:
-    """Return the size of the request line and the headers, as they were sent."""
-    separators = len(": \r\n")
-    fields = sum(
-        len(name) + len(value) + separators for name, value in request.raw_headers
-    )
-    return fields + len(request.method) + len(request.raw_path)
-
-
 def _forwarded(headers: CIMultiDictProxy[str]) -> Iterable[tuple[str, str]]:
     """Return the headers that concern the backend server."""
     named = {
