Let the broken guard forget a token in every answer

Change: the third token of each answer is forgotten. The check is the same: the verdict has to notice.

--- a/src/boragespring/faults/tests/test_broken_guards.py
+++ b/src/boragespring/faults/tests/test_broken_guards.py
@@ -3,6 +3,8 @@
 Each case runs one seed twice: as the code is, and with the guard broken.
 """
 
+import weakref
+
 import pytest
 
 from boragespring.answers import (
@@ -18,6 +20,7 @@
 #: Seeds whose only fault is the one named.
 LINKS_SILENT, CALLERS_VANISH = 4, 8
 TRIES_MAX = 6
+FORGOTTEN_TOKEN = 2
 
 
 def ignore_claims(patch):
@@ -82,13 +85,17 @@
     patch.setattr(RequestRunner, "stream", spliced)
 
 
-def end_early(patch):
-    """Tokens on the way are forgotten."""
+def forget_a_token(patch):
+    """A token on the way is forgotten, in each answer, whatever came with it."""
     take = AnswerReceiver.take
+    taken = weakref.WeakKeyDictionary()
 
     def lossy(self):
         texts = take(self)
-        return texts[:-1] if len(texts) > 1 else texts
+        first = taken.get(self, 0)
+        taken[self] = first + len(texts)
+        numbered = enumerate(texts, first)
+        return [text for number, text in numbered if number != FORGOTTEN_TOKEN]
 
     patch.setattr(AnswerReceiver, "take", lossy)
 
@@ -99,7 +106,7 @@
     (never_cancel, CALLERS_VANISH, BreachKind.LEFT_RUNNING),
     (refuse_what_ran, LINKS_SILENT, BreachKind.RAN_THOUGH_REFUSED),
     (splice, LINKS_SILENT, BreachKind.TWO_GENERATIONS),
-    (end_early, LINKS_SILENT, BreachKind.TOKENS_WRONG),
+    (forget_a_token, LINKS_SILENT, BreachKind.TOKENS_WRONG),
     (forget_calls, LINKS_SILENT, BreachKind.RAN_TWICE),
 ]
 
