Keep the soak beside the emulator, where the platform's names are known

Cause: the soak writes the platform's settings file and sends its headers, but lay outside platform/; read as a newcomer would, its gateway's fields had no explanations. Change: it moves to platform/soak; fields are described.

--- a/src/boragespring/cli/soak.py
+++ b/src/boragespring/cli/soak.py
@@ -11,7 +11,7 @@
 import typer
 
 from boragespring.faults import RunReport
-from boragespring.soak import run_soak
+from boragespring.platform.soak import run_soak
 
 __all__ = ["add_commands"]
 
--- a/src/boragespring/soak/__init__.py
+++ b/src/boragespring/platform/soak/__init__.py
@@ -4,6 +4,6 @@
 emulated platform, the callers and the checks run in one other process.
 """
 
-from boragespring.soak.runner import run_soak
+from boragespring.platform.soak.runner import run_soak
 
 __all__ = ["run_soak"]
--- a/src/boragespring/soak/callers.py
+++ b/src/boragespring/platform/soak/callers.py
@@ -9,7 +9,7 @@
 from attrs import define, field
 
 from boragespring.platform import names
-from boragespring.soak.deployment import SoakDeployment, SoakGateway
+from boragespring.platform.soak.deployment import SoakDeployment, SoakGateway
 
 __all__ = ["Callers", "Received", "RequestKind"]
 
--- a/src/boragespring/soak/deployment.py
+++ b/src/boragespring/platform/soak/deployment.py
@@ -46,14 +46,28 @@
 class SoakGateway:
     """One gateway process, with the relay between it and the store.
 
-    Attributes
+    Parameters
     ----------
+    name : str
+        Name of the instance.
+    host : str
+        Its address of the loopback network.
+    callers_port, ready_port : int
+        Where it takes requests and readiness checks.
+    settings_path : Path
+        Its settings file.
+    relay : Relay
+        Between it and the store.
     starts : int
         Number of starts so far.
     misses : int
         Readiness checks in a row without success.
     has_been_ready : bool
         Whether the process that runs now was ready once.
+    exit_codes : list of int
+        Exit codes of planned stops.
+    busy : asyncio.Lock
+        Held while a fault of this gateway lasts.
     """
 
     name: str
--- a/src/boragespring/soak/injector.py
+++ b/src/boragespring/platform/soak/injector.py
@@ -9,9 +9,13 @@
 
 from boragespring.platform.emulator import ServiceFault, StoreMode
 from boragespring.platform.names import REGISTRATION_PREFIX
-from boragespring.soak.deployment import CATALOG_DELAY_S, SoakDeployment, SoakGateway
-from boragespring.soak.schedule import SoakFault, SoakKind
-from boragespring.soak.verdict import KeyRemoval
+from boragespring.platform.soak.deployment import (
+    CATALOG_DELAY_S,
+    SoakDeployment,
+    SoakGateway,
+)
+from boragespring.platform.soak.schedule import SoakFault, SoakKind
+from boragespring.platform.soak.verdict import KeyRemoval
 
 __all__ = ["SoakInjector"]
 
--- a/src/boragespring/soak/runner.py
+++ b/src/boragespring/platform/soak/runner.py
@@ -7,11 +7,11 @@
 from pathlib import Path
 
 from boragespring.faults import Breach, RunReport
-from boragespring.soak.callers import Callers
-from boragespring.soak.deployment import SoakDeployment
-from boragespring.soak.injector import SoakInjector
-from boragespring.soak.schedule import PLANNED_KINDS, draw_faults
-from boragespring.soak.verdict import SoakBreachKind, judge
+from boragespring.platform.soak.callers import Callers
+from boragespring.platform.soak.deployment import SoakDeployment
+from boragespring.platform.soak.injector import SoakInjector
+from boragespring.platform.soak.schedule import PLANNED_KINDS, draw_faults
+from boragespring.platform.soak.verdict import SoakBreachKind, judge
 
 __all__ = ["run_soak"]
 
--- a/src/boragespring/soak/tests/test_soak.py
+++ b/src/boragespring/platform/soak/tests/test_soak.py
@@ -5,10 +5,10 @@
 import pytest
 
 from boragespring.platform.emulator import EmulatedPlatform, EmulatedService
-from boragespring.soak import run_soak
-from boragespring.soak.callers import Received, RequestKind
-from boragespring.soak.schedule import PLANNED_KINDS, SoakKind, draw_faults
-from boragespring.soak.verdict import KeyRemoval, SoakBreachKind, judge
+from boragespring.platform.soak import run_soak
+from boragespring.platform.soak.callers import Received, RequestKind
+from boragespring.platform.soak.schedule import PLANNED_KINDS, SoakKind, draw_faults
+from boragespring.platform.soak.verdict import KeyRemoval, SoakBreachKind, judge
 
 #: All killed after a key was taken; planned stops in turn with changes; a gateway
 #: that stands still while the store resets connections.
--- a/src/boragespring/soak/verdict.py
+++ b/src/boragespring/platform/soak/verdict.py
@@ -8,7 +8,7 @@
 
 from boragespring.faults import Breach
 from boragespring.platform.emulator import EmulatedPlatform
-from boragespring.soak.callers import Received, RequestKind
+from boragespring.platform.soak.callers import Received, RequestKind
 
 __all__ = ["KeyRemoval", "SoakBreachKind", "judge"]
 
