Take neither a refused body's rest nor a paused process for a slow head

Cause (read again as a newcomer would): after a body was refused (413) the next head counted as due, so that the rest of that body was counted as one and could be refused a second time on the same connection; and the timer of a head ran before a whole head that had arrived while the process stood still was noted. Change: the next head is due once the request was read to its end; a slow head is refused one turn of the loop later, if it is still not complete. Dead: log_paths of the soak, a header name that nothing used. Tests: the rest of a body that was refused is no head; a head that arrived while the process stood still is not slow (408 before).

--- a/src/boragespring/http/caller_connection.py
+++ b/src/boragespring/http/caller_connection.py
@@ -76,8 +76,8 @@
             timeout_s = self._limits.header_timeout_s
             self._head_timer = loop.call_later(timeout_s, self._refuse_slow)
         if self._head_bytes > self._limits.header_bytes:
-            # A complete head is noted before this runs.
-            loop.call_soon(self._refuse_large)
+            status = HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+            loop.call_soon(self._refuse_unread, status)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """End the timer with the connection."""
@@ -85,11 +85,14 @@
         super().connection_lost(exc)
 
     def _refuse_slow(self) -> None:
-        self._refuse(HTTPStatus.REQUEST_TIMEOUT)
+        # After a pause of the process a whole head may wait to be noted.
+        loop = asyncio.get_running_loop()
+        loop.call_soon(self._refuse_unread, HTTPStatus.REQUEST_TIMEOUT)
 
-    def _refuse_large(self) -> None:
+    def _refuse_unread(self, status: HTTPStatus) -> None:
+        """Refuse a head unless it was complete; that is noted before this runs."""
         if self._is_head_due and self._head_bytes:
-            self._refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+            self._refuse(status)
 
     def _refuse(self, status: HTTPStatus) -> None:
         self._stop_timer()
--- a/src/boragespring/platform/front_door.py
+++ b/src/boragespring/platform/front_door.py
@@ -140,7 +140,9 @@
         finally:
             self.in_progress -= 1
             self._idle.set()
-            if isinstance(request.protocol, CallerConnection):
+            is_read = request.content.is_eof()
+            if is_read and isinstance(request.protocol, CallerConnection):
+                # The rest of a body that was refused would be taken for a head.
                 request.protocol.note_answered()
         return caller.response or web.Response(status=500)
 
--- a/src/boragespring/platform/names.py
+++ b/src/boragespring/platform/names.py
@@ -42,7 +42,6 @@
 # Headers of a backend server's reply.
 SIGNATURE: Final = "Boragespring-Response-Signature"
 NOT_RUN: Final = "Boragespring-Not-Executed"
-SERVER_ID: Final = "Boragespring-Instance-Id"
 #: Running, waiting and slots, as ``"3,0,8"``.
 SERVER_LOAD: Final = "Boragespring-Server-Load"
 RETRY_AFTER: Final = "Retry-After"
--- a/src/boragespring/platform/soak/deployment.py
+++ b/src/boragespring/platform/soak/deployment.py
@@ -149,10 +149,6 @@
         known = [one for one in self.gateways if one.is_in_rotation] or self.gateways
         return known[number % len(known)]
 
-    def log_paths(self) -> list[Path]:
-        """Return the logs of all processes."""
-        return sorted(self._directory.glob("*.log"))
-
     async def start(self, gateway: SoakGateway) -> None:
         """Start a gateway's process."""
         gateway.starts += 1
--- a/src/boragespring/platform/tests/test_caller_limits.py
+++ b/src/boragespring/platform/tests/test_caller_limits.py
@@ -1,6 +1,7 @@
 """What callers may send: bytes that are no request, sizes, times."""
 
 import asyncio
+import time
 
 import pytest
 
@@ -128,3 +129,28 @@
             await asyncio.sleep(0.55)
         await asyncio.sleep(0.5)
         assert await asyncio.wait_for(reader.read(), 1.0) == b""
+
+
+async def test_the_rest_of_a_body_that_was_refused_is_no_head():
+    async with deployment(services=1, limits=LIMITS) as platform:
+        reader, writer = await connect(platform.gateways[0])
+        writer.write(head_of("large", 300_000).encode() + b"x" * 70_000)
+        assert await status_read(reader) == 413
+        for _ in range(5):
+            writer.write(b"x" * 10_000)
+            await asyncio.sleep(0.02)
+        rest = await asyncio.wait_for(reader.read(), 4.0)
+        assert rest.count(b"HTTP/1.1") == 0
+        assert not told(platform.gateways[0], "head_refused")
+
+
+async def test_a_head_that_arrived_while_the_process_stood_still_is_not_slow():
+    async with deployment(services=1, limits=LIMITS) as platform:
+        reader, writer = await connect(platform.gateways[0])
+        whole = head_of("paused").encode()
+        writer.write(whole[:-4])
+        await asyncio.sleep(0.1)
+        writer.write(whole[-4:])
+        # Nothing of the process runs until long after the limit.
+        time.sleep(0.5)
+        assert await status_read(reader) == 200
--- a/src/boragespring/sharing/copies.py
+++ b/src/boragespring/sharing/copies.py
@@ -28,8 +28,7 @@
     Parameters
     ----------
     age_max_s : float
-        Age of the own copy from which those of others are preferred; more
-        than a watch waits.
+        Age of the own copy from which those of others are preferred.
     lost_age_max_s : float
         The same while the store does not answer this gateway.
     gain_min_s : float
