Run all commands on the run-time dependencies alone

Cause: cli/demo.py and cli/soak.py reached bench/processes.py, which imports psutil, a development package.

--- a/src/boragespring/bench/membership.py
+++ b/src/boragespring/bench/membership.py
@@ -15,8 +15,8 @@
 import msgpack
 from attrs import asdict, evolve, frozen
 
-from boragespring.bench.processes import ProcessSet
 from boragespring.bench.virtual_time import run_in_virtual_time
+from boragespring.child_processes import ProcessSet
 from boragespring.links.codec import encode
 from boragespring.lists import ListsDocument
 from boragespring.lists.changes import new_change_id
--- a/src/boragespring/bench/membership_node.py
+++ b/src/boragespring/bench/membership_node.py
@@ -15,11 +15,11 @@
 import sys
 import time
 
-import psutil
 from prometheus_client import CollectorRegistry, Counter
 
 from boragespring.admission import AdmissionQueue, AdmissionSettings
 from boragespring.agent.workload import Workload
+from boragespring.bench.process_usage import resident_bytes
 from boragespring.entry.agent_chooser import AgentChooser
 from boragespring.links import (
     Dispatcher,
@@ -154,7 +154,7 @@
     registry = CollectorRegistry()
     metrics = LinkMetrics(registry)
     dispatcher = Dispatcher()
-    before_bytes = _memory_bytes()
+    before_bytes = resident_bytes(os.getpid())
     peers = AgentPeers(
         _StaticInstanceSource(ports),
         LinkContext(_identity("entry-0", "entry"), dispatcher, LinkSettings(), metrics),
@@ -173,7 +173,7 @@
 async def _measure_agent(count: int) -> None:
     """Wait for the links of the entries and measure this agent."""
     metrics = LinkMetrics(CollectorRegistry())
-    before_bytes = _memory_bytes()
+    before_bytes = resident_bytes(os.getpid())
     server = await _start_agent("agent-0", metrics)
     _print_json([server.port])
     async with asyncio.timeout(LINK_TIMEOUT_S):
@@ -190,7 +190,7 @@
 async def _measure(metrics: LinkMetrics, before_bytes: int) -> None:
     await asyncio.sleep(WARMUP_S)
     gc.collect()
-    memory_bytes = _memory_bytes() - before_bytes
+    memory_bytes = resident_bytes(os.getpid()) - before_bytes
     started_s = time.monotonic()
     sent, received = _traffic_bytes(metrics)
     cpu_shares = [await _cpu_share() for _ in range(WINDOWS)]
@@ -225,11 +225,6 @@
     return usage.ru_utime + usage.ru_stime
 
 
-def _memory_bytes() -> int:
-    used: int = psutil.Process(os.getpid()).memory_info().rss
-    return used
-
-
 def _print_json(value: object) -> None:
     sys.stdout.write(json.dumps(value) + "\n")
     sys.stdout.flush()
--- a/src/boragespring/bench/relay.py
+++ b/src/boragespring/bench/relay.py
@@ -11,8 +11,9 @@
 import cattrs
 from attrs import frozen
 
-from boragespring.bench.processes import ProcessSet, free_ports
+from boragespring.bench.process_usage import cpu_time_s, resident_bytes
 from boragespring.bench.streams import percentile, run_stream, run_streams
+from boragespring.child_processes import ProcessSet, free_ports
 from boragespring.local import LOCAL_API_KEY, local_document
 
 __all__ = ["run"]
@@ -204,16 +205,16 @@
     tokens = STREAMS * STREAM_TOKENS
     await run_streams(session, base_urls.relay, STREAMS, 20)
     await run_streams(session, base_urls.entry, STREAMS, 20)
-    before_s = processes.cpu_time_s("relay")
+    before_s = cpu_time_s(processes.pid("relay"))
     await run_streams(session, base_urls.relay, STREAMS, STREAM_TOKENS)
-    relay_us = (processes.cpu_time_s("relay") - before_s) / tokens * 1e6
+    relay_us = (cpu_time_s(processes.pid("relay")) - before_s) / tokens * 1e6
     before_entry_s, before_agent_s = (
-        processes.cpu_time_s("entry"),
-        processes.cpu_time_s("agent"),
+        cpu_time_s(processes.pid("entry")),
+        cpu_time_s(processes.pid("agent")),
     )
     await run_streams(session, base_urls.entry, STREAMS, STREAM_TOKENS)
-    entry_us = (processes.cpu_time_s("entry") - before_entry_s) / tokens * 1e6
-    agent_us = (processes.cpu_time_s("agent") - before_agent_s) / tokens * 1e6
+    entry_us = (cpu_time_s(processes.pid("entry")) - before_entry_s) / tokens * 1e6
+    agent_us = (cpu_time_s(processes.pid("agent")) - before_agent_s) / tokens * 1e6
     return [
         BenchmarkResult("CPU time per token, bare relay", relay_us, "us"),
         BenchmarkResult("CPU time per token, entry", entry_us, "us"),
@@ -276,9 +277,9 @@
         for _ in numbers:
             await run_stream(session, base_urls.entry, 1)
 
-    before_s = processes.cpu_time_s("entry")
+    before_s = cpu_time_s(processes.pid("entry"))
     await asyncio.gather(*(call_repeatedly() for _ in range(SHORT_CALLERS)))
-    rate = SHORT_STREAMS / (processes.cpu_time_s("entry") - before_s)
+    rate = SHORT_STREAMS / (cpu_time_s(processes.pid("entry")) - before_s)
     return BenchmarkResult(
         "one-token requests per second of entry CPU time", rate, "1/s"
     )
@@ -287,7 +288,7 @@
 async def _measure_memory(
     processes: ProcessSet, session: aiohttp.ClientSession, base_urls: BaseUrls
 ) -> BenchmarkResult:
-    before_bytes = processes.memory_bytes("entry")
+    before_bytes = resident_bytes(processes.pid("entry"))
     tasks = [
         asyncio.create_task(
             run_stream(session, base_urls.entry, CONCURRENT_STREAM_TOKENS)
@@ -297,7 +298,7 @@
     peak_bytes = before_bytes
     while not all(task.done() for task in tasks):
         await asyncio.sleep(0.2)
-        peak_bytes = max(peak_bytes, processes.memory_bytes("entry"))
+        peak_bytes = max(peak_bytes, resident_bytes(processes.pid("entry")))
     await asyncio.gather(*tasks)
     kib_per_stream = (peak_bytes - before_bytes) / CONCURRENT_STREAMS / 1024
     return BenchmarkResult("memory per concurrent stream, entry", kib_per_stream, "KiB")
--- a/src/boragespring/bench/processes.py
+++ b/src/boragespring/child_processes.py
@@ -1,4 +1,4 @@
-"""Run Python modules as child processes and measure their resource usage."""
+"""Run Python modules as child processes of tests, benchmarks and soak runs."""
 
 import asyncio
 import itertools
@@ -11,8 +11,6 @@
 from pathlib import Path
 from types import TracebackType
 
-import psutil
-
 import boragespring
 
 __all__ = ["ProcessSet", "free_ports"]
@@ -129,14 +127,9 @@
         async with asyncio.timeout(timeout_s):
             return await self._children[name].wait()
 
-    def cpu_time_s(self, name: str) -> float:
-        """Return the CPU time, in seconds, that a process has used."""
-        times = psutil.Process(self._children[name].pid).cpu_times()
-        return times.user + times.system
-
-    def memory_bytes(self, name: str) -> int:
-        """Return the resident memory of a process, in bytes."""
-        return psutil.Process(self._children[name].pid).memory_info().rss
+    def pid(self, name: str) -> int:
+        """Return the process ID of a process."""
+        return self._children[name].pid
 
     async def _wait_for_port(self, port: int) -> None:
         while True:
--- a/src/boragespring/cli/bench.py
+++ b/src/boragespring/cli/bench.py
@@ -3,11 +3,18 @@
 import importlib
 import importlib.util
 from enum import StrEnum
+from types import ModuleType
 from typing import Annotated
 
 import typer
 
-__all__ = ["Measurement", "add_commands"]
+from boragespring.errors import BoragespringError
+
+__all__ = ["Measurement", "MissingPackageError", "add_commands"]
+
+
+class MissingPackageError(BoragespringError):
+    """An optional dependency is not installed."""
 
 
 class Measurement(StrEnum):
@@ -39,4 +46,20 @@
             typer.echo(f"== {name}: not part of this release")
             continue
         typer.echo(f"== {name}")
-        importlib.import_module(f"boragespring.bench.{name}").run()
+        _load(spec.name).run()
+
+
+def _load(module_name: str) -> ModuleType:
+    """Import a benchmark, which may need more than the programs that serve.
+
+    Raises
+    ------
+    MissingPackageError
+        The optional dependencies for benchmarks are not installed.
+    """
+    try:
+        return importlib.import_module(module_name)
+    except ModuleNotFoundError as error:
+        raise MissingPackageError(
+            f"benchmarks need the package {error.name}: install boragespring[bench]"
+        ) from error
--- a/src/boragespring/cli/check.py
+++ b/src/boragespring/cli/check.py
@@ -1,7 +1,7 @@
 """Command that validates settings, lists and instance lists."""
 
 import json
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from pathlib import Path
 from typing import Annotated, Any
 
@@ -13,6 +13,7 @@
     capacity_warnings,
     structure_document,
 )
+from boragespring.platform.deploy_file import check_deploy_file, is_deploy_file
 from boragespring.platform.settings_file import load_gateway_settings
 from boragespring.settings import (
     AgentSettings,
@@ -64,7 +65,7 @@
     file : str
         Path of the file.
     kind : str
-        ``entry``, ``agent``, ``gateway``, ``lists`` or ``instances``.
+        ``entry``, ``agent``, ``gateway``, ``deploy``, ``lists`` or ``instances``.
     errors : list of InvalidField
         All invalid fields.
     warnings : list of str
@@ -113,7 +114,9 @@
         If the file cannot be read or parsed.
     """
     if path.suffix == ".toml":
-        return _check_gateway(path)
+        if is_deploy_file(path):
+            return _check_toml(path, "deploy", check_deploy_file)
+        return _check_toml(path, "gateway", load_gateway_settings)
     data = load_document(path)
     kind = _detect_kind(data)
     report = FileReport(str(path), kind)
@@ -128,11 +131,11 @@
     return report
 
 
-def _check_gateway(path: Path) -> FileReport:
-    """Check a settings file that the platform wrote for a gateway."""
-    report = FileReport(str(path), "gateway")
+def _check_toml(path: Path, kind: str, load: Callable[[Path], object]) -> FileReport:
+    """Check a file in the platform's format by loading it."""
+    report = FileReport(str(path), kind)
     try:
-        load_gateway_settings(path)
+        load(path)
     except FieldErrorGroup as error_group:
         report.errors.extend(_invalid_fields(error_group.exceptions))
     return report
--- a/src/boragespring/cli/tests/test_check.py
+++ b/src/boragespring/cli/tests/test_check.py
@@ -50,3 +50,14 @@
         main()
     assert caught.value.code == 2
     assert "settings.json" in capsys.readouterr().err
+
+
+def test_deploy_file_is_checked(tmp_path):
+    deploy = EXAMPLES.parent / "deploy" / "system.toml"
+    report = check_file(deploy)
+    assert (report.kind, report.errors) == ("deploy", [])
+    path = tmp_path / "system.toml"
+    text = deploy.read_text()
+    path.write_text(text.replace('"front", "control"', '"nobody"').replace("1.0", "2"))
+    fields = {error.field for error in check_file(path).errors}
+    assert fields == {"roles.gateway.serves", "roles.gateway.share"}
--- a/src/boragespring/composition/tests/test_many_streams.py
+++ b/src/boragespring/composition/tests/test_many_streams.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from boragespring.bench.processes import ProcessSet
+from boragespring.child_processes import ProcessSet
 from boragespring.composition.tests.test_separate_processes import (
     ENGINES,
     LocalProcesses,
--- a/src/boragespring/composition/tests/test_separate_processes.py
+++ b/src/boragespring/composition/tests/test_separate_processes.py
@@ -10,7 +10,7 @@
 import aiohttp
 import pytest
 
-from boragespring.bench.processes import ProcessSet, free_ports
+from boragespring.child_processes import ProcessSet, free_ports
 
 EXAMPLES = Path(__file__).parents[4] / "examples"
 CLI = "boragespring.cli"
--- a/src/boragespring/platform/emulator/demo.py
+++ b/src/boragespring/platform/emulator/demo.py
@@ -6,7 +6,7 @@
 
 import aiohttp
 
-from boragespring.bench.processes import free_ports
+from boragespring.child_processes import free_ports
 from boragespring.platform import names
 from boragespring.platform.emulator.deployment import EmulatedPlatform, GatewayProcess
 
--- a/src/boragespring/platform/soak/deployment.py
+++ b/src/boragespring/platform/soak/deployment.py
@@ -8,7 +8,7 @@
 import aiohttp
 from attrs import define, field
 
-from boragespring.bench.processes import ProcessSet, free_ports
+from boragespring.child_processes import ProcessSet, free_ports
 from boragespring.faults.relay import Relay
 from boragespring.platform.emulator import EmulatedPlatform, EngineSpec
 from boragespring.platform.names import READY_PATH
--- a/src/boragespring/platform/tests/support.py
+++ b/src/boragespring/platform/tests/support.py
@@ -5,7 +5,7 @@
 import json
 import logging
 
-from boragespring.bench.processes import free_ports
+from boragespring.child_processes import free_ports
 from boragespring.decisions import DecisionLog
 from boragespring.platform.emulator import EmulatedPlatform
 
--- a/src/boragespring/platform/tests/test_outages.py
+++ b/src/boragespring/platform/tests/test_outages.py
@@ -8,7 +8,7 @@
 import pytest
 from attrs import evolve
 
-from boragespring.bench.processes import free_ports
+from boragespring.child_processes import free_ports
 from boragespring.platform import names
 from boragespring.platform.emulator import StoreMode
 from boragespring.platform.tests.support import (
