Relay messages between gateways by way of a few gateways of each zone

Change: two relays of each zone (most cores first) link to all relays; every other gateway links to the relays of its own zone and joins the first one. Loads are summed on the way and only changed sums are sent; reports on leaving servers go to the gateways that may have requests there. A relay without a link for 0.4 s is replaced by the next gateway of its zone. The loads of a peer count while the link is open on which it sent all of them. Small fleets stay linked directly, as all of them are relays.

The tests showed on the way that every received row was sent on although nothing had changed, without end between two relays; rows are now compared with what the receiver knows.

--- a/src/boragespring/bench/generations.py
+++ b/src/boragespring/bench/generations.py
@@ -253,7 +253,6 @@
     def _send_load(self, gateway: int) -> None:
         if self.policy is not Policy.SHARED_LOAD:
             return
-        now_s = asyncio.get_running_loop().time()
         for number, servers in enumerate(self.gateways):
             if number == gateway:
                 continue
@@ -261,7 +260,7 @@
                 self.gateways[gateway], servers, strict=True
             ):
                 peer_server.peer_loads[str(gateway)] = PeerLoad(
-                    *local_server.local_load, now_s
+                    *local_server.local_load
                 )
 
 
@@ -397,7 +396,7 @@
         # produced tokens, and four peers, each with run count, memory tokens, prefill
         # tokens and time of receipt.
         server.runs = {str(n): RunLoad(3000, 900.0, 0.0, 4) for n in range(2)}
-        server.peer_loads = {str(n): PeerLoad(2, 8e3, 0.0, 0.0) for n in range(4)}
+        server.peer_loads = {str(n): PeerLoad(2, 8e3, 0.0) for n in range(4)}
     call, settings = (
         GenerationCall(PromptShape(3000, 900), ENGINE_PROFILE),
         PlacementSettings(),
--- a/src/boragespring/composition/gateway.py
+++ b/src/boragespring/composition/gateway.py
@@ -5,11 +5,10 @@
 """
 
 import time
-from collections.abc import Awaitable, Callable, Coroutine, Iterable, Sequence
+from collections.abc import Awaitable, Callable, Coroutine, Iterable
 from functools import partial
 from typing import Any
 
-import xxhash
 from aiohttp import web
 from attrs import evolve, frozen
 from prometheus_client import CollectorRegistry
@@ -39,6 +38,8 @@
     GatewayLocation,
     LoadSharing,
     LoadSharingSettings,
+    PeerNetwork,
+    PeerNetworkSettings,
     Presence,
     PresenceSettings,
     SnapshotSharing,
@@ -46,8 +47,9 @@
     WatchRotation,
 )
 from boragespring.gateway_peers.presence import PRESENCE_PREFIX
+from boragespring.gateway_peers.topology import SEED_NAME_PREFIX
 from boragespring.http.admin import HttpServer, admin_routes
-from boragespring.links import Dispatcher, Identity, Link, LinkContext, LinkServer
+from boragespring.links import Dispatcher, Identity, LinkContext, LinkServer
 from boragespring.links.messages import PROTOCOL_VERSION
 from boragespring.membership.entry_peers import EntryPeers
 from boragespring.metrics import LinkMetrics
@@ -73,8 +75,6 @@
 
 #: Prefix that every key in the store has.
 ALL_KEYS_PREFIX = ""
-#: Maximum number of gateways that one gateway dials.
-PEER_LINKS_MAX = 40
 #: Number of gateways among which the call rates of the store are divided.
 STORE_RATE_SHARES = 64
 
@@ -96,7 +96,7 @@
     calls = HttpServerCalls(ServerCallSettings())
     peers = _build_peers(settings, registry, log)
     load_sharing = LoadSharing(
-        fleet, peers.dispatcher, peers.links, LoadSharingSettings()
+        fleet, peers.dispatcher, peers.network, LoadSharingSettings()
     )
     validator = RequestValidator(catalog_holder, _validator_settings(settings.bounds))
     validator.has_other_gateway = load_sharing.has_serving_peer
@@ -111,10 +111,10 @@
         metrics=metrics,
         notify_loads=load_sharing.schedule_update,
     )
-    evacuations = EvacuationSharing(peers.dispatcher, peers.links)
+    evacuations = EvacuationSharing(peers.network, load_sharing.has_load)
     forwarder = _build_forwarder(context, validator, evacuations)
     location = GatewayLocation(settings.name, settings.availability_zone)
-    watch_rotation = WatchRotation(location, peers.locations)
+    watch_rotation = WatchRotation(location, peers.network.reachable_relays)
     store_sync = _build_store_sync(
         settings, registry, catalog_holder, fleet, peers, watch_rotation, log
     )
@@ -123,7 +123,7 @@
         calls=calls,
         settings=ProbeSettings(),
         local_name=settings.name,
-        peer_names=peers.names,
+        prober_names=lambda: [relay.name for relay in peers.network.reachable_relays()],
         snapshot_age_limit_s=lambda: watch_rotation.snapshot_age_limit_s(
             store_sync.is_store_lost()
         ),
@@ -150,8 +150,12 @@
         # HTTP server for the requests of the callers.
         callers=GatewayHttpServer(settings.callers, forwarder, caller_limits, log),
         listeners=[peers.server],
-        loops=(*store_sync.loops, prober.run),
-        maintenance=(fleet.expire_lapsed, load_sharing.expire_outdated),
+        loops=(*store_sync.loops, prober.run, load_sharing.run),
+        maintenance=(
+            fleet.expire_lapsed,
+            load_sharing.expire_outdated,
+            peers.network.refresh,
+        ),
         reload_hooks=(apply_bounds,),
         leave_hooks=(load_sharing.leave,),
         status=partial(_status, catalog_holder, fleet),
@@ -227,7 +231,7 @@
     presence = Presence(
         store,
         _local_instance(settings),
-        peers.entries.apply_instances,
+        peers.network.apply_gateways,
         PresenceSettings(),
         log,
     )
@@ -245,7 +249,7 @@
         < watch_rotation.snapshot_age_limit_s()
     )
     snapshots = SnapshotSharing(
-        follower, peers.dispatcher, peers.links, SnapshotSharingSettings(), log
+        follower, peers.dispatcher, peers.network, SnapshotSharingSettings(), log
     )
     return _StoreSync(
         loops=(follower.run, presence.run, snapshots.run),
@@ -279,7 +283,14 @@
         lambda: float(sum(not server.is_leaving for server in fleet.servers)),
     )
     metrics.add_gauge(
-        "peers", "Gateways with an open link.", lambda: float(len(peers.links()))
+        "peers",
+        "Gateways with an open link.",
+        lambda: float(len(peers.network.linked_names())),
+    )
+    metrics.add_gauge(
+        "joined_gateways",
+        "Gateways for which this one relays messages to the others.",
+        lambda: float(len(peers.network.joined_links())),
     )
 
 
@@ -320,25 +331,14 @@
     entries : EntryPeers
         Maintains the links that this gateway dials; gateways have the role of
         entries on links and in the instance list.
+    network : PeerNetwork
+        Chooses the gateways to dial and sends to all others.
     """
 
     dispatcher: Dispatcher
     server: LinkServer
     entries: EntryPeers
-
-    def links(self) -> list[Link]:
-        """Return the open links that this gateway has dialed."""
-        dialed = (self.entries.link_to(peer.name) for peer in self.entries.entries)
-        return [link for link in dialed if link is not None]
-
-    def names(self) -> list[str]:
-        """Return the names of the gateways that have an open link."""
-        return [link.peer.name for link in self.links()]
-
-    def locations(self) -> list[GatewayLocation]:
-        """Return the names and availability zones of the gateways with an open link."""
-        peers = (link.peer for link in self.links())
-        return [GatewayLocation(peer.name, peer.availability_zone) for peer in peers]
+    network: PeerNetwork
 
     async def close(self) -> None:
         """Stop dialing and close the links that this gateway has dialed."""
@@ -368,31 +368,11 @@
     )
     context = LinkContext(identity, dispatcher, settings.links, LinkMetrics(registry))
     entries = EntryPeers(context)
-    entries.add_selector(lambda: _select_peers(settings, entries.entries))
-    entries.apply_instances(tuple(_seed_instances(settings)))
-    return _Peers(dispatcher, LinkServer(settings.peers, context), entries)
-
-
-def _select_peers(
-    settings: GatewaySettings, gateways: Sequence[Instance]
-) -> frozenset[str]:
-    """Return the names of the gateways to dial.
-
-    Gateways of the local availability zone come before all others. Within each of
-    these groups, a hash of the names of both gateways determines the order, so that
-    not all gateways dial the same ones.
-    """
-    others = [gateway for gateway in gateways if gateway.name != settings.name]
-
-    def rank(gateway: Instance) -> tuple[bool, int]:
-        is_remote_zone = gateway.availability_zone != settings.availability_zone
-        return is_remote_zone, xxhash.xxh32_intdigest(
-            (settings.name + gateway.name).encode()
-        )
-
-    return frozenset(
-        gateway.name for gateway in sorted(others, key=rank)[:PEER_LINKS_MAX]
+    network = PeerNetwork(
+        _local_instance(settings), dispatcher, entries, PeerNetworkSettings()
     )
+    network.apply_gateways(tuple(_seed_instances(settings)))
+    return _Peers(dispatcher, LinkServer(settings.peers, context), entries, network)
 
 
 def _seed_instances(settings: GatewaySettings) -> Iterable[Instance]:
@@ -403,7 +383,7 @@
     return (
         evolve(
             _local_instance(settings),
-            name=f"seed {seed.host}:{seed.port}",
+            name=f"{SEED_NAME_PREFIX}{seed.host}:{seed.port}",
             host=seed.host,
             link_port=seed.port,
         )
@@ -423,6 +403,7 @@
         host=settings.peers.host,
         link_port=settings.peers.port,
         http_port=0,
+        cpu_cores=settings.cpu_cores,
     )
 
 
--- a/src/boragespring/fleet/model.py
+++ b/src/boragespring/fleet/model.py
@@ -126,22 +126,21 @@
 class PeerLoad:
     """Load that another gateway reported for one backend server.
 
+    It may include the load of further gateways for which the other one relays.
+
     Parameters
     ----------
     runs : int
-        Number of requests that the other gateway has on the server.
+        Number of their requests on the server.
     memory_tokens : float
         Memory that these requests are expected to occupy when they end.
     prefill_tokens : float
         Prompt tokens that still wait for prefill.
-    received_at_s : float
-        Monotonic time in seconds at which the load was received.
     """
 
     runs: int
     memory_tokens: float
     prefill_tokens: float
-    received_at_s: float
 
 
 class ServerLoadTotals(NamedTuple):
@@ -182,7 +181,7 @@
     runs : dict of str to RunLoad
         Requests of this gateway on the server, by request identifier.
     peer_loads : dict of str to PeerLoad
-        Load that the other gateways reported, by gateway name.
+        Load that linked gateways reported, by gateway name.
     consecutive_failures : int
         Failures since the last success or suspicion.
     suspected_until_s : float
--- a/src/boragespring/fleet/state.py
+++ b/src/boragespring/fleet/state.py
@@ -10,8 +10,8 @@
 
 __all__ = ["Fleet", "FleetSettings"]
 
-#: Called with each server that starts to leave.
-LeaveHook = Callable[[BackendServer], None]
+#: Called with each server that joins or starts to leave.
+ServerHook = Callable[[BackendServer], None]
 
 
 @frozen
@@ -63,7 +63,8 @@
         self._servers: dict[str, BackendServer] = {}
         self._candidates: dict[str, tuple[BackendServer, ...]] = {}
         self._lapsed_at_s: dict[str, float] = {}
-        self.leave_hooks: list[LeaveHook] = []
+        self.join_hooks: list[ServerHook] = []
+        self.leave_hooks: list[ServerHook] = []
 
     @property
     def servers(self) -> Iterable[BackendServer]:
@@ -200,6 +201,8 @@
         self._servers[registration.server_id] = server
         self._candidates.clear()
         self._log_change("server_joined", server, address=str(server.address))
+        for hook in self.join_hooks:
+            hook(server)
         if registration.is_leaving:
             self._leave(server, "told")
 
--- a/src/boragespring/forwarding/probing.py
+++ b/src/boragespring/forwarding/probing.py
@@ -77,8 +77,9 @@
         Timing of probes.
     local_name : str
         Name of this gateway.
-    peer_names : callable
-        Returns the names of the gateways among which servers are divided.
+    prober_names : callable
+        Returns the names of the gateways among which the servers are divided. A
+        gateway that is not among them probes none.
     snapshot_age_limit_s : callable
         Returns the snapshot age in seconds above which servers are probed.
     snapshot_age_s : callable
@@ -99,7 +100,7 @@
         calls: ReportFetcher,
         settings: ProbeSettings,
         local_name: str,
-        peer_names: Callable[[], Iterable[str]],
+        prober_names: Callable[[], Iterable[str]],
         snapshot_age_limit_s: Callable[[], float],
         snapshot_age_s: Callable[[], float],
         serves_reports: Callable[[str], bool],
@@ -111,7 +112,7 @@
         self._calls = calls
         self._settings = settings
         self._local_name = local_name
-        self._peer_names = peer_names
+        self._prober_names = prober_names
         self._snapshot_age_limit_s = snapshot_age_limit_s
         self._snapshot_age_s = snapshot_age_s
         self._serves_reports = serves_reports
@@ -158,7 +159,10 @@
             self._notify_unreachable(server.server_id)
 
     def _assigned_servers(self) -> list[BackendServer]:
-        peer_names = tuple(self._peer_names())
+        names = set(self._prober_names())
+        if self._local_name not in names:
+            return []
+        peer_names = names - {self._local_name}
         return [
             server
             for server in self._fleet.servers
--- a/src/boragespring/forwarding/tests/test_placement.py
+++ b/src/boragespring/forwarding/tests/test_placement.py
@@ -70,7 +70,7 @@
 
 def test_load_from_other_gateways_counts():
     with_local_runs, with_peer_load = server("mine"), server("theirs")
-    with_peer_load.peer_loads["gateway-2"] = PeerLoad(8, 32_000.0, 0.0, NOW_S)
+    with_peer_load.peer_loads["gateway-2"] = PeerLoad(8, 32_000.0, 0.0)
     add_runs(with_local_runs, 3)
     assert choose(generation(), [with_local_runs, with_peer_load]) is with_local_runs
 
--- a/src/boragespring/gateway_peers/__init__.py
+++ b/src/boragespring/gateway_peers/__init__.py
@@ -1,10 +1,11 @@
 """Exchange of loads, store content and evacuations between gateways.
 
-The messages of this package use the codes 140 to 149.
+The messages of this package use the codes 140 to 159.
 """
 
 from boragespring.gateway_peers.evacuations import EvacuationSharing
 from boragespring.gateway_peers.loads import LoadSharing, LoadSharingSettings
+from boragespring.gateway_peers.network import PeerNetwork, PeerNetworkSettings
 from boragespring.gateway_peers.presence import Presence, PresenceSettings
 from boragespring.gateway_peers.store_snapshots import (
     SnapshotSharing,
@@ -21,6 +22,8 @@
     "GatewayLocation",
     "LoadSharing",
     "LoadSharingSettings",
+    "PeerNetwork",
+    "PeerNetworkSettings",
     "Presence",
     "PresenceSettings",
     "SnapshotSharing",
--- a/src/boragespring/gateway_peers/evacuations.py
+++ b/src/boragespring/gateway_peers/evacuations.py
@@ -9,8 +9,7 @@
     ServerLeaving,
     ServerUnreachable,
 )
-from boragespring.links import Dispatcher, Link, LinkClosedError
-from boragespring.links.codec import Message
+from boragespring.gateway_peers.network import PeerNetwork
 
 __all__ = ["EvacuationSharing"]
 
@@ -29,22 +28,26 @@
 
     Parameters
     ----------
-    dispatcher : Dispatcher
-        Registry for the message handlers of this class.
-    links : callable
-        Returns the open links to other gateways.
+    network : PeerNetwork
+        Links to the other gateways.
+    has_load : callable
+        Returns whether a gateway, or one for which it relays, may have requests on a
+        server. Only such gateways need to know which runs are moved off the server.
     """
 
-    def __init__(self, dispatcher: Dispatcher, links: Callable[[], list[Link]]) -> None:
-        self._links = links
+    def __init__(
+        self, network: PeerNetwork, has_load: Callable[[str, str], bool]
+    ) -> None:
+        self._network = network
+        self._has_load = has_load
         self.announce_hooks: list[AnnounceHook] = []
         self.end_hooks: list[EndHook] = []
         self.leaving_hooks: list[ServerHook] = []
         self.unreachable_hooks: list[ServerHook] = []
-        dispatcher.on(ServerLeaving, self._handle_leaving)
-        dispatcher.on(ServerUnreachable, self._handle_unreachable)
-        dispatcher.on(LeavingRuns, self._handle_runs)
-        dispatcher.on(LeavingRunEnded, self._handle_end)
+        network.on_broadcast(ServerLeaving, self._handle_leaving)
+        network.on_broadcast(ServerUnreachable, self._handle_unreachable)
+        network.on_broadcast(LeavingRuns, self._handle_runs, self._needs)
+        network.on_broadcast(LeavingRunEnded, self._handle_end, self._needs)
 
     def announce(self, server_id: str, runs: Iterable[LeavingRun]) -> None:
         """Announce the runs that this gateway has to move off a server."""
@@ -58,29 +61,24 @@
             ]
             for run in runs
         ]
-        self._broadcast(LeavingRuns(server_id, rows))
+        self._network.broadcast(LeavingRuns(server_id, rows), self._needs)
 
     def notify_ended(self, server_id: str, run_id: str) -> None:
         """Report that a run was moved, has ended, or cannot be moved."""
-        self._broadcast(LeavingRunEnded(server_id, run_id))
+        self._network.broadcast(LeavingRunEnded(server_id, run_id), self._needs)
 
     def notify_leaving(self, server_id: str) -> None:
         """Report a leaving server, which the store may not show yet."""
-        self._broadcast(ServerLeaving(server_id))
+        self._network.broadcast(ServerLeaving(server_id))
 
     def notify_unreachable(self, server_id: str) -> None:
         """Report an unreachable server, so that the peers probe it themselves."""
-        self._broadcast(ServerUnreachable(server_id))
+        self._network.broadcast(ServerUnreachable(server_id))
 
-    def _broadcast(self, message: Message) -> None:
-        for link in self._links():
-            try:
-                link.send(message)
-            except LinkClosedError:
-                # Peers wait only for a bounded time for a run of this gateway.
-                continue
+    def _needs(self, name: str, message: LeavingRuns | LeavingRunEnded) -> bool:
+        return self._has_load(name, message.server_id)
 
-    def _handle_runs(self, _: Link, message: LeavingRuns) -> None:
+    def _handle_runs(self, message: LeavingRuns) -> None:
         runs = [
             LeavingRun(
                 run_id=str(run_id),
@@ -94,14 +92,14 @@
         for hook in self.announce_hooks:
             hook(message.server_id, runs)
 
-    def _handle_end(self, _: Link, message: LeavingRunEnded) -> None:
+    def _handle_end(self, message: LeavingRunEnded) -> None:
         for hook in self.end_hooks:
             hook(message.server_id, message.run_id)
 
-    def _handle_leaving(self, _: Link, message: ServerLeaving) -> None:
+    def _handle_leaving(self, message: ServerLeaving) -> None:
         for hook in self.leaving_hooks:
             hook(message.server_id)
 
-    def _handle_unreachable(self, _: Link, message: ServerUnreachable) -> None:
+    def _handle_unreachable(self, message: ServerUnreachable) -> None:
         for hook in self.unreachable_hooks:
             hook(message.server_id)
--- a/src/boragespring/gateway_peers/messages.py
+++ b/src/boragespring/gateway_peers/messages.py
@@ -1,4 +1,4 @@
-"""Messages between gateways; they use the codes 140 to 149."""
+"""Messages between gateways; they use the codes 140 to 159."""
 
 from typing import Any
 
@@ -7,7 +7,9 @@
 __all__ = [
     "SnapshotAge",
     "SnapshotReply",
+    "GatewayLeaving",
     "GatewayLoads",
+    "JoinRelay",
     "LeavingRunEnded",
     "LeavingRuns",
     "ReadSnapshot",
@@ -17,24 +19,6 @@
 ]
 
 
-@message(140)
-class GatewayLoads:
-    """Load of the sender's running requests on each backend server.
-
-    Parameters
-    ----------
-    loads : list
-        One row for each server: its identifier, the number of runs, the memory
-        in tokens that they are expected to hold, and the prompt tokens that
-        still wait for prefill.
-    is_leaving : bool
-        Whether the sender is stopping.
-    """
-
-    loads: list[Any]
-    is_leaving: bool
-
-
 @message(141)
 class SnapshotAge:
     """Age of the sender's snapshot of the store's content.
@@ -146,3 +130,41 @@
     after_revision: int
     revision: int
     rows: list[Any]
+
+
+@message(149)
+class JoinRelay:
+    """The sender joins the receiver as its relay, or no longer does.
+
+    Parameters
+    ----------
+    is_joined : bool
+        Whether the receiver shall pass messages on between the sender and others.
+    """
+
+    is_joined: bool
+
+
+@message(150)
+class GatewayLoads:
+    """Loads that the sender knows and the receiver gets from no other gateway.
+
+    Parameters
+    ----------
+    loads : list
+        One row for each server whose load has changed: its identifier, the number of
+        runs, the memory in tokens that they are expected to hold, and the prompt
+        tokens that still wait for prefill. Without runs the server has no load.
+    is_complete : bool
+        Whether servers without a row have no load.
+    """
+
+    loads: list[Any]
+    is_complete: bool
+
+
+@message(151)
+class GatewayLeaving:
+    """A gateway is stopping."""
+
+    name: str
--- a/src/boragespring/gateway_peers/presence.py
+++ b/src/boragespring/gateway_peers/presence.py
@@ -150,6 +150,7 @@
                 "region": self._local_gateway.region,
                 "host": self._local_gateway.host,
                 "link_port": self._local_gateway.link_port,
+                "cpu_cores": self._local_gateway.cpu_cores,
             }
         ).encode()
         expected = ABSENT_REVISION
@@ -175,6 +176,8 @@
             host=str(fields["host"]),
             link_port=int(fields["link_port"]),
             http_port=0,
+            # Gateways of an earlier version do not write this field.
+            cpu_cores=float(fields.get("cpu_cores", 1.0)),
         )
     except (ValueError, LookupError, TypeError):
         return None
--- a/src/boragespring/gateway_peers/store_snapshots.py
+++ b/src/boragespring/gateway_peers/store_snapshots.py
@@ -1,8 +1,9 @@
 """Keep the snapshots of the store's content current across gateways.
 
-A gateway that watches the store forwards each change to its peers. A gateway
-fetches a full snapshot from a peer when changes are missing in its own, or when
-the store does not answer it.
+A gateway that watches the store forwards each change to the relays and to the gateways
+that have joined it; a relay forwards it to those that have joined the relay. A gateway
+fetches a full snapshot from a peer when changes are missing in its own, or when the
+store does not answer it.
 """
 
 import asyncio
@@ -19,6 +20,7 @@
     SnapshotReply,
     StoreChanges,
 )
+from boragespring.gateway_peers.network import PeerNetwork
 from boragespring.links import CallFailedError, Dispatcher, Link, LinkClosedError
 from boragespring.store import KeyValue
 from boragespring.store.follower import PrefixFollower
@@ -38,6 +40,9 @@
         adopted.
     outage_age_max_s : float
         The same limit in seconds while the store does not answer this gateway.
+    behind_max_s : float
+        Time in seconds for which the local snapshot may lack a change that a peer's
+        contains, before the peer's is adopted. The change usually arrives by itself.
     gain_min_s : float
         Minimum difference in age, in seconds, between the local snapshot and the
         peer's.
@@ -49,6 +54,7 @@
 
     age_max_s: float = 2.4
     outage_age_max_s: float = 0.8
+    behind_max_s: float = 0.5
     gain_min_s: float = 0.3
     check_interval_s: float = 0.1
     call_timeout_s: float = 0.5
@@ -82,8 +88,8 @@
         Follower of the store, which holds the local snapshot.
     dispatcher : Dispatcher
         Registry for the message handlers of this class.
-    links : callable
-        Returns the open links to other gateways.
+    network : PeerNetwork
+        Links to the other gateways.
     settings : SnapshotSharingSettings
         Age limits and timeouts.
     log : DecisionLog
@@ -96,16 +102,20 @@
         self,
         follower: PrefixFollower,
         dispatcher: Dispatcher,
-        links: Callable[[], list[Link]],
+        network: PeerNetwork,
         settings: SnapshotSharingSettings,
         log: DecisionLog,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._follower = follower
-        self._links = links
+        self._network = network
         self._reported_contact_at_s = float("-inf")
         #: Whether a peer forwarded changes that do not follow on the local ones.
         self._has_gap = False
+        #: Monotonic time since which a peer's snapshot contains a change that the
+        #: local one lacks; infinite if none does.
+        self._behind_since_s = float("inf")
+        self._forwarded_revision = 0
         self._settings = settings
         self._log = log
         self._clock = clock
@@ -131,7 +141,7 @@
         if self._follower.last_reply_at_s <= self._reported_contact_at_s:
             return
         self._reported_contact_at_s = self._follower.last_reply_at_s
-        for link in self._links():
+        for link in self._network.links():
             with contextlib.suppress(LinkClosedError):
                 self._send_age(link)
 
@@ -143,14 +153,22 @@
         )
         if newest is None:
             return None
-        is_outdated = self._follower.is_store_lost or self._has_gap
-        if is_outdated and newest.content_revision > self._follower.content_revision:
+        if self._is_outdated(newest):
             return newest
         local_at_s = self._follower.complete_at_s
         is_recent = self._clock() - local_at_s < self._age_max_s()
         has_gain = newest.complete_at_s - local_at_s >= self._settings.gain_min_s
         return newest if has_gain and not is_recent else None
 
+    def _is_outdated(self, newest: _PeerSnapshot) -> bool:
+        """Return whether the local snapshot lacks changes that will not arrive."""
+        if newest.content_revision <= self._follower.content_revision:
+            self._behind_since_s = float("inf")
+            return False
+        self._behind_since_s = min(self._behind_since_s, self._clock())
+        is_late = self._clock() - self._behind_since_s > self._settings.behind_max_s
+        return self._follower.is_store_lost or self._has_gap or is_late
+
     def _age_max_s(self) -> float:
         is_lost = self._follower.is_store_lost
         return self._settings.outage_age_max_s if is_lost else self._settings.age_max_s
@@ -191,10 +209,8 @@
             [event.key, event.item.value if event.item else None, event.revision]
             for event in batch.events
         ]
-        changes = StoreChanges(after_revision, batch.revision, rows)
-        for link in self._links():
-            with contextlib.suppress(LinkClosedError):
-                link.send(changes)
+        self._forwarded_revision = max(self._forwarded_revision, batch.revision)
+        self._network.broadcast(StoreChanges(after_revision, batch.revision, rows))
 
     def _handle_changes(self, _: Link, changes: StoreChanges) -> None:
         events = tuple(
@@ -209,6 +225,10 @@
         self._has_gap |= not self._follower.apply_peer_batch(
             changes.after_revision, batch
         )
+        if changes.revision > self._forwarded_revision:
+            # Several gateways watch the store and send the same changes.
+            self._forwarded_revision = changes.revision
+            self._network.forward_to_joined(changes)
 
     def _handle_age(self, link: Link, age: SnapshotAge) -> None:
         complete_at_s = self._clock() - age.age_ms / 1000
--- a/src/boragespring/gateway_peers/watch_rotation.py
+++ b/src/boragespring/gateway_peers/watch_rotation.py
@@ -7,7 +7,7 @@
 rarely, and so that every gateway soon detects an outage of the store.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Sequence
 from itertools import groupby, islice
 
 from attrs import frozen
@@ -58,14 +58,14 @@
 
 
 class WatchRotation:
-    """Schedule of this gateway's watches among those of its linked peers.
+    """Schedule of this gateway's watches among those of other gateways.
 
     Parameters
     ----------
     local : GatewayLocation
         This gateway.
-    peers : callable
-        Returns the other gateways with an open link.
+    candidates : callable
+        Returns the gateways that may watch.
     settings : WatchRotationSettings, optional
         Number of watchers and timeouts.
     """
@@ -73,11 +73,11 @@
     def __init__(
         self,
         local: GatewayLocation,
-        peers: Callable[[], Iterable[GatewayLocation]],
+        candidates: Callable[[], Sequence[GatewayLocation]],
         settings: WatchRotationSettings | None = None,
     ) -> None:
         self._local = local
-        self._peers = peers
+        self._candidates = candidates
         self._settings = settings or WatchRotationSettings()
 
     def is_watcher(self) -> bool:
@@ -113,7 +113,7 @@
     def _watchers(self) -> list[str]:
         """Return the names of the watching gateways, in the order of slots."""
         locations = sorted(
-            {self._local, *self._peers()},
+            self._candidates() or [self._local],
             key=lambda gateway: (gateway.availability_zone, gateway.name),
         )
         zones = groupby(locations, key=lambda gateway: gateway.availability_zone)
--- a/src/boragespring/membership/entry_peers.py
+++ b/src/boragespring/membership/entry_peers.py
@@ -84,6 +84,16 @@
         peer = self._peers.get(name)
         return peer.dialer.link if peer is not None else None
 
+    def down_since_s(self, name: str) -> float:
+        """Return the monotonic time since which a dialed entry has had no link.
+
+        It is infinite for an entry with an open link and for one that is not dialed.
+        """
+        peer = self._peers.get(name)
+        if peer is None or peer.dialer.link is not None:
+            return float("inf")
+        return peer.dialer.down_since_s
+
     def stop(self) -> None:
         """Close all links."""
         for peer in self._peers.values():
--- a/src/boragespring/platform/settings_file.py
+++ b/src/boragespring/platform/settings_file.py
@@ -61,6 +61,14 @@
     reads_per_s: float = 2000.0
 
 
+@frozen
+class _WireLimits:
+    # Share of a core that the process gets, and the speed of the core as a multiple
+    # of the reference machine's.
+    cpu_share: float = 1.0
+    cores: float = 1.0
+
+
 @frozen
 class _WireSettings:
     node: str
@@ -75,6 +83,7 @@
     # Operator addresses of some other machines. Only the hosts are used: link
     # ports are the same on all machines.
     seeds: list[str] | None = None
+    limits: _WireLimits = _WireLimits()
 
 
 def settings_path() -> Path | None:
@@ -127,6 +136,7 @@
         ),
         bounds=_gateway_bounds(wire.bounds),
         links=PEER_LINK_SETTINGS,
+        cpu_cores=wire.limits.cpu_share * wire.limits.cores,
         seeds=tuple(
             AddressSettings(seed.rpartition(":")[0], wire.internal_ports[0])
             for seed in wire.seeds or ()
--- a/src/boragespring/settings/gateway.py
+++ b/src/boragespring/settings/gateway.py
@@ -80,6 +80,8 @@
         down.
     links : LinkSettings
         Heartbeats and timeouts of the links between gateways.
+    cpu_cores : float
+        Processing capacity of the instance, in cores of the reference machine.
     """
 
     name: str
@@ -93,3 +95,4 @@
     bounds: GatewayBounds = GatewayBounds()
     seeds: tuple[AddressSettings, ...] = ()
     links: LinkSettings = LinkSettings()
+    cpu_cores: float = 1.0
--- a/src/boragespring/store/instances.py
+++ b/src/boragespring/store/instances.py
@@ -56,6 +56,8 @@
         TCP port of the HTTP interface.
     state : InstanceState
         Whether the instance is live or about to leave.
+    cpu_cores : float
+        Processing capacity in cores of the reference machine.
     """
 
     name: str
@@ -67,6 +69,7 @@
     link_port: int
     http_port: int
     state: InstanceState = InstanceState.LIVE
+    cpu_cores: float = 1.0
 
 
 class InstanceList(Protocol):
