--- a/src/boragespring/gateway_peers/loads.py
+++ b/src/boragespring/gateway_peers/loads.py
@@ -78,8 +78,8 @@
     lost_link_grace_s: float = 0.5
     leaving_ttl_s: float = 15.0
     update_delay_s: float = 0.01
-    relay_delay_s: float = 0.03
-    update_interval_s: float = 0.15
+    relay_delay_s: float = 0.05
+    update_interval_s: float = 0.2
 
 
 class LoadSharing:
--- a/src/boragespring/gateway_peers/store_snapshots.py
+++ b/src/boragespring/gateway_peers/store_snapshots.py
@@ -56,7 +56,7 @@
     outage_age_max_s: float = 0.8
     behind_max_s: float = 0.5
     gain_min_s: float = 0.3
-    check_interval_s: float = 0.1
+    check_interval_s: float = 0.2
     call_timeout_s: float = 0.5
 
 
--- a/src/boragespring/store/follower.py
+++ b/src/boragespring/store/follower.py
@@ -45,7 +45,7 @@
 
     retry_backoff_s: float = 0.1
     retry_backoff_max_s: float = 0.4
-    standby_poll_interval_s: float = 0.05
+    standby_poll_interval_s: float = 0.2
 
 
 #: Called with each batch from the local watch, preceded by the revision that the batch
