Let fewer gateways watch the store, and sample four servers instead of six

Where more than 24 servers serve a model, loads are up to 0.1 s old by way of relays; gateways that compare many servers choose the same one.

Change: at most six gateways watch, or one of each zone; four servers are sampled.

--- a/src/boragespring/forwarding/placement.py
+++ b/src/boragespring/forwarding/placement.py
@@ -52,7 +52,7 @@
     run_penalty_s: float = 0.02
     suspicion_penalty_s: float = 30.0
     compare_all_max: int = 24
-    sample_size: int = 6
+    sample_size: int = 4
 
 
 @frozen
--- a/src/boragespring/gateway_peers/watch_rotation.py
+++ b/src/boragespring/gateway_peers/watch_rotation.py
@@ -8,7 +8,7 @@
 """
 
 from collections.abc import Callable, Sequence
-from itertools import groupby, islice
+from itertools import chain, groupby, islice, zip_longest
 
 from attrs import frozen
 
@@ -30,7 +30,10 @@
     Parameters
     ----------
     watchers_per_zone : int
-        Gateways of each availability zone that watch; the others do not.
+        Maximum number of gateways of an availability zone that watch.
+    watchers_max : int
+        Number of gateways that watch in a fleet with few zones. In one with more zones,
+        one gateway of each zone watches. Each of them is answered at each change.
     timeout_per_watcher_s : float
         Watch timeout in seconds per watching gateway: the more of them watch, the
         longer each watch may last.
@@ -49,6 +52,7 @@
     """
 
     watchers_per_zone: int = 2
+    watchers_max: int = 6
     timeout_per_watcher_s: float = 0.4
     timeout_min_s: float = 2.0
     timeout_max_s: float = 10.0
@@ -111,17 +115,23 @@
         return min(slots_s, full_s) + self._settings.slack_s
 
     def _watchers(self) -> list[str]:
-        """Return the names of the watching gateways, in the order of slots."""
+        """Return the names of the watching gateways, in the order of slots.
+
+        The first gateways of all zones come before the second ones.
+        """
         locations = sorted(
             self._candidates() or [self._local],
             key=lambda gateway: (gateway.availability_zone, gateway.name),
         )
-        zones = groupby(locations, key=lambda gateway: gateway.availability_zone)
-        return [
-            gateway.name
-            for _, members in zones
-            for gateway in islice(members, self._settings.watchers_per_zone)
+        zones = [
+            list(islice(members, self._settings.watchers_per_zone))
+            for _, members in groupby(
+                locations, key=lambda gateway: gateway.availability_zone
+            )
         ]
+        ranked = chain.from_iterable(zip_longest(*zones))
+        names = [gateway.name for gateway in ranked if gateway is not None]
+        return names[: max(self._settings.watchers_max, len(zones))]
 
     def _full_timeout_s(self, count: int) -> float:
         timeout_s = self._settings.timeout_per_watcher_s * count
