Resume a moved run on its source if the target cannot be reached

Cause: a ServerUnreachableError of the resumed request went past the stream forwarder, and the caller got a broken reply; nothing tried the source, which keeps the memory of a stopped run. The benchmark of generations gave 99 to a function that takes a fraction, and values that were not sorted.

Change: the run goes on at its source and is queued to be moved again, behind the others; the emulated engine keeps a stopped run's memory too. The percentile is of sorted values.

--- a/src/boragespring/bench/generations.py
+++ b/src/boragespring/bench/generations.py
@@ -47,7 +47,7 @@
     RunState,
 )
 
-__all__ = ["Policy", "measure_policy", "run"]
+__all__ = ["Policy", "interval_p99_s", "measure_policy", "run"]
 
 ENGINES, GATEWAYS = 6, 5
 DURATION_S = 60.0
@@ -318,16 +318,23 @@
     for task in tasks:
         task.cancel()
     await asyncio.gather(*tasks, return_exceptions=True)
-    intervals_s = [time_s for _, record in answers for time_s in record.intervals_s()]
     return PolicyResult(
         on_time_fraction=statistics.mean(_is_on_time(*answer) for answer in answers),
         preemptions=sum(engine.core.preemptions for engine in system.engines.values()),
         stall_s=sum(record.stall_s(INTERVAL_MAX_S) for _, record in answers),
-        interval_p99_s=percentile(intervals_s, 99),
+        interval_p99_s=interval_p99_s(record for _, record in answers),
         refused=sum(record.outcome != "ok" for _, record in answers),
     )
 
 
+def interval_p99_s(records: Iterable[AnswerRecord]) -> float:
+    """Return the 99th percentile of the time, in seconds, between tokens."""
+    intervals_s = sorted(
+        time_s for record in records for time_s in record.intervals_s()
+    )
+    return percentile(intervals_s, 0.99)
+
+
 def _is_on_time(profile: RequestProfile, record: AnswerRecord) -> bool:
     # The queue time ends with the first token, so the objective applies to it.
     if record.outcome != "ok" or record.queue_time_s > profile.objective_s:
--- a/src/boragespring/bench/tests/test_generations.py
+++ b/src/boragespring/bench/tests/test_generations.py
@@ -1,6 +1,7 @@
 """Tests of the placement policies under heavy load, in virtual time."""
 
-from boragespring.bench.generations import Policy, measure_policy
+from boragespring.bench.generations import Policy, interval_p99_s, measure_policy
+from boragespring.replay.measures import AnswerRecord
 
 
 def test_shared_load_serves_more_on_time_than_least_requests_at_full_load():
@@ -15,3 +16,11 @@
     shared = measure_policy(Policy.SHARED_LOAD, 0.7, 1)
     assert shared.refused <= 1
     assert shared.on_time_fraction > 0.95
+
+
+def test_the_99th_percentile_does_not_depend_on_the_order_of_answers():
+    slow, fast = (AnswerRecord("", "long answer", 0.0) for _ in range(2))
+    slow.token_times_s = [float(second) for second in range(10)]
+    fast.token_times_s = [0.01 * number for number in range(91)]
+    for records in ([slow, fast], [fast, slow]):
+        assert interval_p99_s(records) == 1.0
--- a/src/boragespring/forwarding/move_scheduler.py
+++ b/src/boragespring/forwarding/move_scheduler.py
@@ -142,6 +142,7 @@
         self._end_queries.add(end_query)
         end_query.add_done_callback(self._end_queries.discard)
         announced: set[str] = set()
+        moved: dict[str, LeavingRun] = {}
         while any(candidate.server is server for candidate in self._streams.values()):
             ready = {
                 stream.job.request_id: stream
@@ -153,6 +154,15 @@
                 for run_id, stream in ready.items()
                 if run_id not in announced
             ]
+            # A run whose target could not be reached has gone on here again.
+            new_runs += [
+                evolve(
+                    self._leaving_run(stream),
+                    failed_attempts=moved.pop(run_id).failed_attempts + 1,
+                )
+                for run_id, stream in ready.items()
+                if run_id in moved
+            ]
             if new_runs:
                 announced.update(run.run_id for run in new_runs)
                 evacuation.add(new_runs)
@@ -168,6 +178,7 @@
             if head is None or stream is None:
                 await asyncio.sleep(self._settings.poll_interval_s)
             elif await self._mover.move(stream):
+                moved[head.run_id] = head
                 self._end_run(server.server_id, head.run_id)
             else:
                 self._requeue(server, evacuation, stream, head)
--- a/src/boragespring/forwarding/stream_relay.py
+++ b/src/boragespring/forwarding/stream_relay.py
@@ -3,8 +3,14 @@
 import asyncio
 import contextlib
 
+from attrs import evolve
+
 from boragespring.forwarding.context import ForwardingContext
-from boragespring.forwarding.errors import ReplyBrokenError, ReplyLostError
+from boragespring.forwarding.errors import (
+    ReplyBrokenError,
+    ReplyLostError,
+    ServerUnreachableError,
+)
 from boragespring.forwarding.events import EventSplitter
 from boragespring.forwarding.messages import CallerReply, ResumePoint, ServerReply
 from boragespring.forwarding.running_stream import Handover, RunningStream
@@ -57,7 +63,7 @@
         Raises
         ------
         ReplyLostError, ServerUnreachableError
-            If the run could not be resumed on the next server.
+            If the run could not be resumed on the next server or on its own.
         """
         while True:
             self._reply = reply
@@ -71,7 +77,7 @@
             if handover is None:
                 self._context.fleet.record_failure(self._stream.server, failure)
                 return failure
-            reply = await self._resume(handover)
+            reply = await self._resume_or_return(handover)
 
     def close(self) -> None:
         """Close the connection to the server and release the run's load."""
@@ -105,6 +111,21 @@
             return stream.fallback
         return handover
 
+    async def _resume_or_return(self, handover: Handover) -> ServerReply:
+        """Resume a run on its target or, if that cannot be reached, on its source.
+
+        The source keeps the memory of a stopped run until it terminates.
+        """
+        try:
+            return await self._resume(handover)
+        except ServerUnreachableError as error:
+            self._context.fleet.record_failure(
+                handover.target, str(error), is_certain=True
+            )
+            if handover.target is handover.source:
+                raise
+        return await self._resume(evolve(handover, target=handover.source))
+
     async def _resume(self, handover: Handover) -> ServerReply:
         stream = self._stream
         job = stream.job
--- a/src/boragespring/forwarding/streaming.py
+++ b/src/boragespring/forwarding/streaming.py
@@ -310,7 +310,7 @@
                 reason = await relay.forward(opened.reply)
         except TimeoutError:
             reason = "time is up"
-        except ReplyLostError as error:
+        except (ReplyLostError, ServerUnreachableError) as error:
             reason = str(error)
         finally:
             self._move_scheduler.remove(stream)
--- a/src/boragespring/platform/emulator/engine.py
+++ b/src/boragespring/platform/emulator/engine.py
@@ -6,7 +6,7 @@
 import time
 
 from aiohttp import web
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
 from boragespring.platform import names
 
@@ -207,15 +207,20 @@
         )
         copy_id = existing.copy_id if existing else f"c{next(self._copy_numbers)}"
         target.copies[run.run_id] = _Copy(copy_id, copied)
+        if body.get("last"):
+            # The memory of a stopped run also stays here until the copy is used.
+            self.copies[run.run_id] = _Copy(copy_id, evolve(copied))
         return web.json_response({"handle": copy_id, "created": run.event_count})
 
     async def _handle_copy_delete(self, request: web.Request) -> web.Response:
-        copy_id = request.match_info["copy"]
+        self._free_copies(request.match_info["copy"])
+        return web.json_response({})
+
+    def _free_copies(self, copy_id: str) -> None:
         for engine in self.peers.values():
             for run_id, copy in list(engine.copies.items()):
                 if copy.copy_id == copy_id:
                     del engine.copies[run_id]
-        return web.json_response({})
 
     async def _handle_generate(self, request: web.Request) -> web.StreamResponse:
         headers = {name.lower(): value for name, value in request.headers.items()}
@@ -236,8 +241,10 @@
         source = headers.get(names.COPY_SOURCE.lower())
         if source:
             copy = self.copies.pop(run_id, None)
-            is_matching = copy is not None and source.endswith(f"/{copy.copy_id}")
-            return copy.run if copy is not None and is_matching else None
+            if copy is None or not source.endswith(f"/{copy.copy_id}"):
+                return None
+            self._free_copies(copy.copy_id)
+            return copy.run
         prompt_tokens, output_tokens = map(
             int, headers[names.TOKEN_COUNTS.lower()].split(",")
         )
--- a/src/boragespring/platform/tests/test_forwarding_streams.py
+++ b/src/boragespring/platform/tests/test_forwarding_streams.py
@@ -6,7 +6,9 @@
 import pytest
 from attrs import evolve
 
+from boragespring.forwarding.errors import ServerUnreachableError
 from boragespring.platform.emulator import EngineSpec
+from boragespring.platform.server_calls import HttpServerCalls
 from boragespring.platform.tests.support import (
     deployment,
     prompt_headers,
@@ -146,6 +148,34 @@
         assert len(_started_runs(platform)) == 1
 
 
+async def test_stream_goes_on_and_moves_again_if_the_target_is_unreachable(
+    session, monkeypatch
+):
+    send = HttpServerCalls.send
+    unreachable = []
+
+    async def send_unless_moved(calls, server, attempt):
+        if attempt.resume is not None and not unreachable:
+            unreachable.append(server.server_id)
+            raise ServerUnreachableError("no connection")
+        return await send(calls, server, attempt)
+
+    monkeypatch.setattr(HttpServerCalls, "send", send_unless_moved)
+    async with deployment(engines=3) as platform:
+        task = asyncio.create_task(_read_stream(session, platform.gateways[0], "s"))
+        await wait_until(lambda: _started_runs(platform))
+        await asyncio.sleep(0.2)
+        leaving_server = next(
+            server for server in platform.engines.values() if server.runs
+        )
+        reclaim = platform.reclaim(leaving_server.server_id, notice_s=1.5)
+        events, _ = await task
+        await reclaim
+        assert unreachable
+        assert leaving_server.server_id not in unreachable
+        assert events == list(range(1, 101))
+
+
 async def test_crash_truncates_the_stream_without_a_second_run(session):
     async with deployment(engines=2) as platform:
         async with post_draft(session, platform.gateways[0], "s1") as response:
