--- a/src/boragespring/gateway_peers/loads.py
+++ b/src/boragespring/gateway_peers/loads.py
@@ -80,7 +80,7 @@
     leaving_ttl_s: float = 15.0
     update_delay_s: float = 0.01
     relay_delay_s: float = 0.05
-    update_interval_s: float = 0.2
+    update_interval_s: float = 0.15
 
 
 class LoadSharing:
--- a/src/boragespring/platform/settings_file.py
+++ b/src/boragespring/platform/settings_file.py
@@ -26,7 +26,7 @@
 
 #: Settings of the links between gateways, whose heartbeats carry load reports.
 PEER_LINK_SETTINGS = LinkSettings(
-    heartbeat_interval_s=0.3,
+    heartbeat_interval_s=0.15,
     heartbeat_deadline_s=1.2,
     connect_timeout_s=0.5,
     reconnect_delay_s=0.1,
