--- a/src/boragespring/platform/settings_file.py
+++ b/src/boragespring/platform/settings_file.py
@@ -24,9 +24,9 @@
 #: Port of the metrics endpoint; it must match `deploy/system.toml`.
 METRICS_PORT = 9464
 
-#: Settings of the links between gateways, whose heartbeats carry load reports.
+#: Settings of the links between gateways.
 PEER_LINK_SETTINGS = LinkSettings(
-    heartbeat_interval_s=0.15,
+    heartbeat_interval_s=0.3,
     heartbeat_deadline_s=1.2,
     connect_timeout_s=0.5,
     reconnect_delay_s=0.1,
