--- a/src/boragespring/fleet/state.py
+++ b/src/boragespring/fleet/state.py
@@ -188,10 +188,11 @@
             self._clock()
         ):
             return
-        duration_s = self._settings.suspicion_base_s * 2**server.suspicions
-        server.suspected_until_s = self._clock() + min(
-            duration_s, self._settings.suspicion_max_s
+        duration_s = min(
+            self._settings.suspicion_base_s * 2**server.suspicions,
+            self._settings.suspicion_max_s,
         )
+        server.suspected_until_s = self._clock() + duration_s
         server.suspicions += 1
         server.consecutive_failures = 0
         self._log_change("server_suspected", server, reason=reason, for_s=duration_s)
--- a/src/boragespring/fleet/tests/test_fleet.py
+++ b/src/boragespring/fleet/tests/test_fleet.py
@@ -1,5 +1,6 @@
 """Registration, departure, expired entries and suspicion of servers."""
 
+import logging
 import random
 
 import pytest
@@ -139,3 +140,19 @@
                 if known.registration.service == service and not known.is_leaving
             ]
             assert list(fleet.candidates(service)) == expected
+
+
+def test_logged_suspicion_is_as_long_as_the_actual_one(clock):
+    logger, records = logging.Logger("test"), []
+    handler = logging.Handler()
+    handler.emit = records.append
+    logger.addHandler(handler)
+    settings = FleetSettings()
+    fleet = Fleet(settings, DecisionLog(clock=clock, logger=logger), clock)
+    fleet.register(registration("s"))
+    server = fleet.find("s")
+    for _ in range(6):
+        fleet.record_failure(server, "refused", is_certain=True)
+        clock.now_s = server.suspected_until_s
+    durations_s = [r.for_s for r in records if r.getMessage() == "server_suspected"]
+    assert durations_s == [1.0, 2.0, 4.0, 8.0, 8.0, 8.0]
