--- a/src/boragespring/bench/generations.py
+++ b/src/boragespring/bench/generations.py
@@ -9,25 +9,29 @@
 import asyncio
 import random
 import statistics
-import time
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable
 from enum import StrEnum
 
 import typer
 from attrs import Factory, define, field, frozen
 
+from boragespring.bench.generation_load import (
+    Request,
+    RequestProfile,
+    generate_requests,
+)
+from boragespring.bench.placement_cost import (
+    CANDIDATES,
+    ZONES,
+    create_servers,
+    measure_placement_us,
+)
 from boragespring.bench.virtual_time import run_in_virtual_time
 from boragespring.catalog import EngineProfile, RequestKind, Route, ServiceShare
-from boragespring.decisions import DecisionLog, LogSettings
 from boragespring.fleet import (
     BackendServer,
-    Fleet,
-    FleetSettings,
-    Registration,
-    ServerAddress,
 )
 from boragespring.fleet.model import PeerLoad, RunLoad
-from boragespring.forwarding.messages import PromptShape
 from boragespring.forwarding.overload import (
     OverloadSettings,
     expected_wait_s,
@@ -47,20 +51,14 @@
     RunState,
 )
 
-__all__ = ["Policy", "interval_p99_s", "measure_policy", "run"]
+__all__ = ["FleetSize", "Policy", "interval_p99_s", "measure_policy", "run"]
 
-ENGINES, GATEWAYS = 6, 5
-DURATION_S = 60.0
 SEEDS = (1, 2, 3)
-ZONES = ("zone-a", "zone-b", "zone-c")
-#: Delay until a placement is reported to other gateways, and interval of the
-#: periodic load reports, in seconds.
-LOAD_NOTICE_DELAY_S, HEARTBEAT_INTERVAL_S = 0.012, 0.15
+#: Interval of the periodic load reports, in seconds.
+HEARTBEAT_INTERVAL_S = 0.15
 #: Interval between tokens beyond which an answer is late.
 INTERVAL_MAX_S = 0.18
 RETRIES_MAX = 1
-CANDIDATES = 128
-COST_REPEATS = 2000
 CORE_SETTINGS = EngineCoreSettings(
     memory_tokens=34_272,
     prefill_tokens_per_s=14_000.0,
@@ -76,38 +74,23 @@
 
 
 @frozen
-class RequestProfile:
-    """Rate and properties of one kind of request.
+class FleetSize:
+    """Size of the simulated fleet and delay of its load reports.
 
     Parameters
     ----------
-    name : str
-        Name of the profile.
-    rate_per_s : float
-        Requests per second and engine at demand 1.
-    prompt_tokens, output_tokens : int
-        Mean lengths. Both are distributed uniformly around the mean. The length
-        hint is the length multiplied by a log-normal factor with median 1.
-    objective_s : float
-        Objective, in seconds, for the time to the first token.
-    urgency : int
-        Rank of the requests; 0 is the most urgent, larger numbers are less urgent.
+    engines, gateways : int
+        Numbers of model engines and of gateways.
+    load_delay_s : float
+        Time in seconds until the other gateways know of a placement.
+    duration_s : float
+        Time in seconds in which requests arrive.
     """
 
-    name: str
-    rate_per_s: float
-    prompt_tokens: int
-    output_tokens: int
-    objective_s: float
-    urgency: int
-
-
-#: Long answers mixed with long prompts that have short answers. At demand 1, the
-#: memory of the engines is just full.
-PROFILES = (
-    RequestProfile("long answer", 0.75, 3_000, 930, 1.8, 1),
-    RequestProfile("short answer", 1.05, 2_200, 12, 1.5, 0),
-)
+    engines: int = 6
+    gateways: int = 5
+    load_delay_s: float = 0.012
+    duration_s: float = 60.0
 
 
 class Policy(StrEnum):
@@ -119,16 +102,6 @@
     SHARED_LOAD = "load of all gateways, refusing"
 
 
-@frozen
-class Request:
-    """One generation request and its arrival time in seconds."""
-
-    profile: RequestProfile
-    arrival_s: float
-    prompt: PromptShape
-    output_tokens: int
-
-
 @define(eq=False)
 class _Engine:
     """One simulated engine and the answers that it produces."""
@@ -159,14 +132,19 @@
     """Simulated gateways and engines."""
 
     policy: Policy
+    size: FleetSize
+    placement: PlacementSettings
     rng: random.Random
     engines: dict[str, _Engine] = field(init=False)
     gateways: list[list[BackendServer]] = field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        names = [f"engine-{number}" for number in range(ENGINES)]
+        names = [f"engine-{number}" for number in range(self.size.engines)]
         self.engines = {name: _Engine() for name in names}
-        self.gateways = [list(_create_servers(names)) for _ in range(GATEWAYS)]
+        self.gateways = [
+            list(create_servers(names, ENGINE_PROFILE.slots))
+            for _ in range(self.size.gateways)
+        ]
 
     async def serve(self, request: Request, number: int) -> AnswerRecord:
         """Serve one request and return the record of its answer.
@@ -176,7 +154,7 @@
         """
         loop = asyncio.get_running_loop()
         record = AnswerRecord("", request.profile.name, loop.time())
-        gateway = number % GATEWAYS
+        gateway = number % self.size.gateways
         for _ in range(1 + RETRIES_MAX):
             servers = self.gateways[gateway]
             server = self._choose(servers, gateway, request)
@@ -186,7 +164,7 @@
                 record.outcome = "ok"
                 break
             await asyncio.sleep(retry_delay_s)
-            gateway = (gateway + 1) % GATEWAYS
+            gateway = (gateway + 1) % self.size.gateways
         record.ended_at_s = loop.time()
         return record
 
@@ -200,7 +178,7 @@
         now_s = asyncio.get_running_loop().time()
         view = PlacementView(servers, ZONES[gateway % len(ZONES)], now_s)
         call = GenerationCall(request.prompt, ENGINE_PROFILE)
-        server = choose_server(call, view, PlacementSettings())
+        server = choose_server(call, view, self.placement)
         assert server is not None
         return server
 
@@ -236,7 +214,7 @@
         )
         engine, done = self.engines[server.server_id], asyncio.Event()
         server.runs[str(id(run))] = load
-        loop.call_later(LOAD_NOTICE_DELAY_S, self._send_load, gateway)
+        loop.call_later(self.size.load_delay_s, self._send_load, gateway)
         engine.answers[run] = (load, record, done)
         engine.core.submit(run)
         engine.work_available.set()
@@ -247,7 +225,7 @@
         """Send the load of each gateway to the others until cancelled."""
         while True:
             await asyncio.sleep(HEARTBEAT_INTERVAL_S)
-            for gateway in range(GATEWAYS):
+            for gateway in range(self.size.gateways):
                 self._send_load(gateway)
 
     def _send_load(self, gateway: int) -> None:
@@ -289,7 +267,13 @@
     refused: int
 
 
-def measure_policy(policy: Policy, demand: float, seed: int) -> PolicyResult:
+def measure_policy(
+    policy: Policy,
+    demand: float,
+    seed: int,
+    size: FleetSize | None = None,
+    placement: PlacementSettings | None = None,
+) -> PolicyResult:
     """Simulate a random load under a policy.
 
     Parameters
@@ -300,18 +284,28 @@
         Load relative to the memory of the engines.
     seed : int
         Seed of the load and of random choices.
+    size : FleetSize, optional
+        Size of the fleet.
+    placement : PlacementSettings, optional
+        Weights and limits of the placement.
     """
-    return run_in_virtual_time(_measure(policy, demand, seed))
+    # Placement samples servers by the global generator.
+    random.seed(f"placement {seed}")
+    size = size or FleetSize()
+    system = _GatewaySystem(
+        policy, size, placement or PlacementSettings(), random.Random(seed)
+    )
+    requests = generate_requests(demand, seed, size.engines, size.duration_s)
+    return run_in_virtual_time(_measure(system, requests))
 
 
-async def _measure(policy: Policy, demand: float, seed: int) -> PolicyResult:
+async def _measure(system: _GatewaySystem, requests: list[Request]) -> PolicyResult:
     loop = asyncio.get_running_loop()
-    system = _GatewaySystem(policy, random.Random(seed))
     tasks = [asyncio.create_task(engine.decode()) for engine in system.engines.values()]
     tasks.append(asyncio.create_task(system.send_loads()))
     submitted = []
     started_s = loop.time()
-    for number, request in enumerate(_generate_requests(demand, seed)):
+    for number, request in enumerate(requests):
         await asyncio.sleep(max(0.0, started_s + request.arrival_s - loop.time()))
         submitted.append((request, asyncio.create_task(system.serve(request, number))))
     answers = [(request.profile, await task) for request, task in submitted]
@@ -342,44 +336,6 @@
     return max(record.intervals_s(), default=0.0) <= INTERVAL_MAX_S
 
 
-def _generate_requests(demand: float, seed: int) -> list[Request]:
-    rng = random.Random(f"load {seed}")
-    return sorted(
-        (
-            request
-            for profile in PROFILES
-            for request in _generate_profile_requests(profile, demand, rng)
-        ),
-        key=lambda request: request.arrival_s,
-    )
-
-
-def _generate_profile_requests(
-    profile: RequestProfile, demand: float, rng: random.Random
-) -> Iterator[Request]:
-    arrival_s = 0.0
-    while True:
-        arrival_s += rng.expovariate(profile.rate_per_s * demand * ENGINES)
-        if arrival_s > DURATION_S:
-            return
-        prompt_tokens = round(profile.prompt_tokens * rng.uniform(0.6, 1.4))
-        output_tokens = 1 + round(profile.output_tokens * rng.uniform(0.2, 1.8))
-        hint_tokens = 1 + round(output_tokens * rng.lognormvariate(0.0, 0.5))
-        prompt = PromptShape(
-            prompt_tokens, 3 * profile.output_tokens, output_hint_tokens=hint_tokens
-        )
-        yield Request(profile, arrival_s, prompt, output_tokens)
-
-
-def _create_servers(names: Iterable[str]) -> Iterator[BackendServer]:
-    address = ServerAddress("127.0.0.1", 1)
-    for number, name in enumerate(names):
-        zone = ZONES[number % len(ZONES)]
-        yield BackendServer(
-            Registration(name, "svc", address, zone, ENGINE_PROFILE.slots), 0.0
-        )
-
-
 def _create_route(profile: RequestProfile) -> Route:
     service_shares = (ServiceShare("svc", 1.0),)
     return Route(
@@ -393,30 +349,6 @@
     )
 
 
-def measure_placement_us() -> float:
-    """Return the median time, in microseconds, of a choice among many servers."""
-    fleet = Fleet(FleetSettings(), DecisionLog(LogSettings(lines_per_s=0.0)))
-    for server in _create_servers(f"engine-{number}" for number in range(CANDIDATES)):
-        fleet.register(server.registration)
-    for server in fleet.servers:
-        # Two runs, each with prompt length, expected output length, send time and
-        # produced tokens, and four peers, each with run count, memory tokens, prefill
-        # tokens and time of receipt.
-        server.runs = {str(n): RunLoad(3000, 900.0, 0.0, 4) for n in range(2)}
-        server.peer_loads = {str(n): PeerLoad(2, 8e3, 0.0) for n in range(4)}
-    call, settings = (
-        GenerationCall(PromptShape(3000, 900), ENGINE_PROFILE),
-        PlacementSettings(),
-    )
-    times_s = []
-    for _ in range(COST_REPEATS):
-        started_s = time.perf_counter()
-        view = PlacementView(fleet.candidates("svc"), ZONES[0], 1.0)
-        choose_server(call, view, settings)
-        times_s.append(time.perf_counter() - started_s)
-    return 1e6 * statistics.median(times_s)
-
-
 def run() -> None:
     """Print the results of each policy and their ratios to least requests."""
     for demand in (0.7, 1.0, 1.2):
@@ -433,9 +365,9 @@
             )
             baseline = baseline or combined
             typer.echo(f"  {policy.value}: {_describe(combined, baseline)}")
+    cost_us = measure_placement_us(ENGINE_PROFILE)
     typer.echo(
-        f"placement among {CANDIDATES} servers: {measure_placement_us():.1f} us"
-        " (target <= 50 us)"
+        f"placement among {CANDIDATES} servers: {cost_us:.1f} us (target <= 50 us)"
     )
 
 
