Keep nothing of servers that no longer have load

Cause: what a gateway knows to have sent to a peer kept an entry for every server that ever had load; on the users' platform a server is replaced every second or so.

Change: an entry without load is removed.

--- a/src/boragespring/gateway_peers/loads.py
+++ b/src/boragespring/gateway_peers/loads.py
@@ -47,7 +47,7 @@
     kind : _PeerKind
         What the peer is to this gateway, on which the loads that it needs depend.
     loads : dict of str to ServerLoadTotals
-        Last load that was sent of each server.
+        Last load that was sent of each server that had one.
     """
 
     link: Link
@@ -286,7 +286,11 @@
         }
         if not new and not is_complete:
             return
-        sent.loads.update(new)
+        for server_id, load in new.items():
+            if load.runs:
+                sent.loads[server_id] = load
+            else:
+                sent.loads.pop(server_id, None)
         rows = [[server_id, *load] for server_id, load in new.items()]
         try:
             sent.link.send(GatewayLoads(rows, is_complete))
--- a/src/boragespring/gateway_peers/tests/test_network.py
+++ b/src/boragespring/gateway_peers/tests/test_network.py
@@ -56,6 +56,12 @@
                 server.runs.clear()
         await asyncio.sleep(SPREAD_S)
         assert fleet.disagreeing(dict.fromkeys(fleet.servers, 0)) == []
+        # Servers come and go all day, so nothing may remain of those without load.
+        assert not any(
+            sent.loads
+            for gateway in fleet.gateways.values()
+            for sent in gateway.loads._sent.values()
+        )
 
     play(scenario)
 
