Let callers resume interrupted streams where the route allows it

The routes of this deployment say which streams may be resumed.

Change: the catalog knows resumable routes; on those the last event goes to the server and counts as received; on others the header is removed as before.

Figures: the tests failed before (events from 1 instead of 41 and 21) and pass now, also where the server leaves meanwhile.

--- a/src/boragespring/catalog/model.py
+++ b/src/boragespring/catalog/model.py
@@ -69,6 +69,8 @@
     pause_objective_s : float
         Objective in seconds for the longest pause between two events of a stream;
         0 if there is none.
+    is_resumable : bool
+        Whether a caller may ask for the rest of a stream that was interrupted.
     """
 
     name: str
@@ -82,6 +84,7 @@
     priority: int = 5
     is_public: bool = False
     pause_objective_s: float = 0.0
+    is_resumable: bool = False
 
 
 @frozen
--- a/src/boragespring/forwarding/jobs.py
+++ b/src/boragespring/forwarding/jobs.py
@@ -103,6 +103,11 @@
         """Identifier of the request."""
         return self.request.request_id
 
+    @property
+    def last_event_id(self) -> str:
+        """Identifier of the event after which the stream starts; empty for all."""
+        return self.request.last_event_id if self.route.is_resumable else ""
+
     def attempt(self, resume: ResumePoint | None = None) -> Attempt:
         """Build one attempt to run the job on a backend server.
 
@@ -117,6 +122,7 @@
             deadline_s=self.deadline_s,
             urgency=self.urgency if self.service.engine is not None else None,
             resume=resume,
+            last_event_id=self.last_event_id,
         )
 
 
--- a/src/boragespring/forwarding/messages.py
+++ b/src/boragespring/forwarding/messages.py
@@ -94,6 +94,9 @@
         Monotonic times in seconds of the arrival and of the caller's timeout.
     prompt : PromptShape or None
         Size of the generation; None for calls to plain services.
+    last_event_id : str
+        Identifier of the last event that the caller has already received, of an
+        earlier request for the same stream; empty if there is none.
     """
 
     request_id: str
@@ -106,6 +109,7 @@
     arrived_at_s: float
     deadline_s: float
     prompt: PromptShape | None = None
+    last_event_id: str = ""
 
     @property
     def path(self) -> str:
@@ -148,6 +152,9 @@
         Priority at the engine, 0 being the most urgent; None for plain services.
     resume : ResumePoint or None
         Copy from which to continue a moved run; None for a new run.
+    last_event_id : str
+        Identifier of the event after which a new run shall start; empty for the
+        whole stream.
     """
 
     request: CallerRequest
@@ -155,6 +162,7 @@
     deadline_s: float
     urgency: int | None = None
     resume: ResumePoint | None = None
+    last_event_id: str = ""
 
 
 @frozen
--- a/src/boragespring/forwarding/streaming.py
+++ b/src/boragespring/forwarding/streaming.py
@@ -300,7 +300,9 @@
             opened.reply.close()
             self._context.fleet.remove_run(opened.server, job.request_id)
             return Refusal(RefusalReason.REPLY_LOST, was_not_run=False)
-        stream = RunningStream(job, opened.server, opened.load)
+        stream = RunningStream(
+            job, opened.server, opened.load, last_event_id=job.last_event_id
+        )
         timeout_s = self._settings.handover_timeout_s
         relay = StreamRelay(self._context, stream, caller, timeout_s)
         self._move_scheduler.add(stream)
--- a/src/boragespring/platform/catalog_codec.py
+++ b/src/boragespring/platform/catalog_codec.py
@@ -49,6 +49,7 @@
     priority: int = 5
     public: bool = False
     gap_target_ms: float = 0.0
+    resumable: bool = False
 
 
 @frozen
@@ -152,6 +153,7 @@
         priority=wire.priority,
         is_public=wire.public,
         pause_objective_s=wire.gap_target_ms / 1000,
+        is_resumable=wire.resumable,
     )
 
 
--- a/src/boragespring/platform/emulator/deployment.py
+++ b/src/boragespring/platform/emulator/deployment.py
@@ -49,6 +49,8 @@
         Maximum number of servers that a request is sent to.
     is_public : bool
         Whether requests are accepted without an API key.
+    is_resumable : bool
+        Whether callers may ask again for the rest of an interrupted stream.
     """
 
     prefix: str
@@ -57,6 +59,7 @@
     timeout_ms: int = 5000
     attempts: int = 1
     is_public: bool = False
+    is_resumable: bool = False
 
 
 STANDARD_ROUTES = (
@@ -329,4 +332,5 @@
             "service": route.service,
             "attempts": route.attempts,
             "public": route.is_public,
+            "resumable": route.is_resumable,
         }
--- a/src/boragespring/platform/http_server.py
+++ b/src/boragespring/platform/http_server.py
@@ -185,6 +185,7 @@
         arrived_at_s=arrived_at_s,
         deadline_s=arrived_at_s + remaining_s,
         prompt=_parse_prompt(headers),
+        last_event_id=headers.get(names.LAST_EVENT_ID, ""),
     )
 
 
--- a/src/boragespring/platform/server_calls.py
+++ b/src/boragespring/platform/server_calls.py
@@ -233,6 +233,8 @@
         headers[names.WORKSPACE] = attempt.workspace
     if attempt.urgency is not None:
         headers[names.URGENCY] = str(attempt.urgency)
+    if attempt.last_event_id:
+        headers[names.LAST_EVENT_ID] = attempt.last_event_id
     if attempt.resume is not None:
         headers[names.COPY_SOURCE] = f"{attempt.resume.source}/{attempt.resume.copy_id}"
         headers[names.LAST_EVENT_ID] = attempt.resume.last_event_id
--- a/src/boragespring/platform/tests/test_forwarding_streams.py
+++ b/src/boragespring/platform/tests/test_forwarding_streams.py
@@ -8,6 +8,7 @@
 
 from boragespring.forwarding.errors import ServerUnreachableError
 from boragespring.platform.emulator import EngineSpec
+from boragespring.platform.emulator.deployment import STANDARD_ROUTES
 from boragespring.platform.server_calls import HttpServerCalls
 from boragespring.platform.tests.support import (
     deployment,
@@ -188,6 +189,32 @@
         assert len(_started_runs(platform)) == 1
 
 
+@pytest.mark.parametrize(("is_resumable", "first"), [(True, 41), (False, 1)])
+async def test_caller_gets_the_rest_of_a_resumable_stream(session, is_resumable, first):
+    route = evolve(STANDARD_ROUTES[0], is_resumable=is_resumable)
+    async with deployment(engines=1, routes=(route,)) as platform:
+        headers = {**LONG_PROMPT_HEADERS, "Last-Event-Id": "40"}
+        events, _ = await _read_stream(session, platform.gateways[0], "s", headers)
+        assert events == list(range(first, 101))
+
+
+async def test_resumed_stream_goes_on_where_it_was_when_its_server_leaves(session):
+    route = evolve(STANDARD_ROUTES[0], is_resumable=True)
+    async with deployment(engines=2, routes=(route,)) as platform:
+        headers = {**LONG_PROMPT_HEADERS, "Last-Event-Id": "20"}
+        process = platform.gateways[0]
+        task = asyncio.create_task(_read_stream(session, process, "s", headers))
+        await wait_until(lambda: _started_runs(platform))
+        await asyncio.sleep(0.2)
+        leaving_server = next(
+            server for server in platform.engines.values() if server.runs
+        )
+        reclaim = platform.reclaim(leaving_server.server_id, notice_s=1.0)
+        events, _ = await task
+        await reclaim
+        assert events == list(range(21, 101))
+
+
 async def test_incomplete_event_is_not_forwarded(session):
     async with deployment(engines=1) as platform:
         platform.engines["engine-0"].truncates_at_event = 7
