Let each process look for free ports in a slice of its own

Cause: test_route_and_key_determine_the_status failed once beside other test runs: the metrics port of its gateway was in use ('address in use' in admin.py). Ports were drawn from one range by all test processes, and another one can take a port between the check and its use.

Change: each process draws from every twentieth port, by its process ID.

--- a/src/boragespring/child_processes.py
+++ b/src/boragespring/child_processes.py
@@ -17,6 +17,7 @@
 
 LOOPBACK = "127.0.0.1"
 PORT_RANGE = range(12_000, 32_000)
+PORT_SLICES = 20
 CONNECT_RETRY_DELAY_S = 0.02
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 10.0
@@ -27,9 +28,11 @@
 
     The ports lie below the range from which the operating system takes ports
     for outgoing connections, so that no such connection occupies one of them
-    before a process listens on it.
+    before a process listens on it. Each process that looks for ports uses a slice
+    of that range, so that two of them rarely find the same port.
     """
-    candidates = iter(random.sample(PORT_RANGE, len(PORT_RANGE)))
+    ports = PORT_RANGE[os.getpid() % PORT_SLICES :: PORT_SLICES]
+    candidates = iter(random.sample(ports, len(ports)))
     return list(itertools.islice(filter(_is_free, candidates), count))
 
 
