--- a/src/boragespring/event_loop.py
+++ b/src/boragespring/event_loop.py
@@ -1,7 +1,7 @@
 """Event loop of the gateway, and periodic waits that wake it up together.
 
-Each wake-up and each system call has a price, which hundreds of processes pay even
-while nobody calls them.
+Most of the processor time of a gateway with few requests goes into wake-ups and system
+calls, so both are kept few.
 """
 
 import asyncio
@@ -19,8 +19,8 @@
 _PHASE_S = random.uniform(0.0, 60.0)
 
 
-class _ReluctantSelector(selectors.DefaultSelector):
-    """Selector that does not poll before each of several ready callbacks.
+class _SkippingSelector(selectors.DefaultSelector):
+    """Selector that skips most polls while callbacks are ready.
 
     A request is handled by a chain of short callbacks, and the loop would poll the
     sockets before each of them.
@@ -45,7 +45,7 @@
 
 def new_event_loop() -> asyncio.AbstractEventLoop:
     """Return an event loop that polls less often while callbacks are ready."""
-    return asyncio.SelectorEventLoop(_ReluctantSelector())
+    return asyncio.SelectorEventLoop(_SkippingSelector())
 
 
 async def sleep_until_tick(interval_s: float) -> None:
--- a/src/boragespring/gateway_peers/loads.py
+++ b/src/boragespring/gateway_peers/loads.py
@@ -116,7 +116,8 @@
         self._received: dict[str, dict[str, PeerLoad]] = {}
         #: Link on which each peer sent all its loads. They count as long as it is open.
         self._received_on: dict[str, Link] = {}
-        #: Peers whose loads count: two relays may both report the same loads.
+        #: Peers whose loads are counted. Two relays can report the same loads, of which
+        #: only one counts.
         self._counted: set[str] = set()
         #: Role, joined and counted peers at the last update.
         self._structure: tuple[bool, frozenset[str], frozenset[str]] | None = None
