Log and count how a server's reply marks its end

Change: answered carries framing (length, chunks, connection) and unterminated_bytes, the bytes behind the last complete event; the counter stream_ends has both. The emulated engine can send streams without length and chunks. What callers get is unchanged.

--- a/src/boragespring/forwarding/forwarder.py
+++ b/src/boragespring/forwarding/forwarder.py
@@ -49,7 +49,13 @@
         if isinstance(reply, Refusal):
             await self._refuse(request, reply, caller, job)
             return
-        self._log_end(job, f"status {reply.head.status}", server=reply.server_id)
+        self._log_end(
+            job,
+            f"status {reply.head.status}",
+            server=reply.server_id,
+            framing=reply.head.framing.value,
+            body_bytes=len(reply.body),
+        )
         await caller.send_buffered(reply.head, reply.body)
 
     async def _serve_stream(self, job: Job, caller: CallerReply) -> None:
@@ -65,6 +71,8 @@
             events=outcome.events,
             longest_pause_s=outcome.longest_pause_s,
             moves=outcome.moves,
+            framing=outcome.framing.value,
+            unterminated_bytes=outcome.unterminated_bytes,
         )
 
     async def _refuse(
--- a/src/boragespring/forwarding/messages.py
+++ b/src/boragespring/forwarding/messages.py
@@ -19,6 +19,7 @@
     "PromptShape",
     "Refusal",
     "RefusalReason",
+    "ReplyFraming",
     "ReplyHead",
     "ResumePoint",
     "RunCopy",
@@ -165,6 +166,15 @@
     last_event_id: str = ""
 
 
+class ReplyFraming(StrEnum):
+    """How a reply marks the end of its body."""
+
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    #: The body ends when the server closes the connection.
+    CONNECTION = "connection"
+
+
 @frozen
 class ReplyHead:
     """Status and headers of a reply.
@@ -185,6 +195,8 @@
         Whether the address belongs to a server other than the expected one.
     is_encoded : bool
         Whether a content encoding, such as gzip, was applied to the body.
+    framing : ReplyFraming
+        How the end of the body is marked.
     """
 
     status: int
@@ -194,6 +206,7 @@
     was_not_run: bool = False
     is_misdirected: bool = False
     is_encoded: bool = False
+    framing: ReplyFraming = ReplyFraming.LENGTH
 
     @property
     def is_success(self) -> bool:
--- a/src/boragespring/forwarding/running_stream.py
+++ b/src/boragespring/forwarding/running_stream.py
@@ -8,6 +8,7 @@
 from boragespring.fleet import BackendServer
 from boragespring.fleet.model import RunLoad
 from boragespring.forwarding.jobs import Job
+from boragespring.forwarding.messages import ReplyFraming
 
 __all__ = ["Handover", "RunningStream"]
 
@@ -49,6 +50,10 @@
         Monotonic time in seconds of the first event; infinite before it.
     longest_pause_s : float
         Longest time in seconds between two consecutive events.
+    reply_framing : ReplyFraming
+        How the latest reply of a server marks its end.
+    unterminated_bytes : int
+        Number of bytes after the last complete event of the latest reply.
     """
 
     job: Job
@@ -63,6 +68,8 @@
     move_after_s: float = float("-inf")
     first_event_at_s: float = float("inf")
     longest_pause_s: float = 0.0
+    reply_framing: ReplyFraming = ReplyFraming.LENGTH
+    unterminated_bytes: int = 0
     _last_event_at_s: float = float("inf")
 
     @property
--- a/src/boragespring/forwarding/stream_relay.py
+++ b/src/boragespring/forwarding/stream_relay.py
@@ -87,11 +87,14 @@
         self._context.fleet.remove_run(stream.server, stream.job.request_id)
 
     async def _relay_events(self, reply: ServerReply) -> None:
+        stream = self._stream
+        stream.reply_framing = reply.head.framing
         splitter = EventSplitter()
         async for chunk in reply.chunks():
             for event in splitter.feed(chunk):
-                if self._stream.record_event(event.event_id):
+                if stream.record_event(event.event_id):
                     await self._caller.write(event.data)
+            stream.unterminated_bytes = len(splitter.remainder)
         if splitter.remainder:
             # The reply ended properly, so an unterminated last event is forwarded too.
             await self._caller.write(splitter.remainder)
--- a/src/boragespring/forwarding/streaming.py
+++ b/src/boragespring/forwarding/streaming.py
@@ -21,6 +21,7 @@
     PromptShape,
     Refusal,
     RefusalReason,
+    ReplyFraming,
     ServerReply,
 )
 from boragespring.forwarding.move_scheduler import MoveScheduler
@@ -93,6 +94,10 @@
         Number of events received and of moves completed.
     longest_pause_s : float
         Longest time in seconds between two consecutive events.
+    framing : ReplyFraming
+        How the last server's reply marks its end.
+    unterminated_bytes : int
+        Number of bytes after the last complete event of that reply.
     """
 
     end: StreamEnd
@@ -101,6 +106,8 @@
     events: int = 0
     moves: int = 0
     longest_pause_s: float = 0.0
+    framing: ReplyFraming = ReplyFraming.LENGTH
+    unterminated_bytes: int = 0
 
 
 @define
@@ -324,6 +331,11 @@
             )
             relay.close()
         end = StreamEnd.CUT if reason else StreamEnd.COMPLETE
+        self._context.metrics.record_stream_end(
+            end.name.lower(),
+            stream.reply_framing.value,
+            is_event_unterminated=stream.unterminated_bytes > 0,
+        )
         if reason:
             caller.abort()
         else:
@@ -335,6 +347,8 @@
             stream.events,
             stream.moves,
             round(stream.longest_pause_s, 3),
+            stream.reply_framing,
+            stream.unterminated_bytes,
         )
 
     def _build_refusal(self, reason: RefusalReason) -> Refusal:
--- a/src/boragespring/metrics/gateway.py
+++ b/src/boragespring/metrics/gateway.py
@@ -47,6 +47,13 @@
             buckets=PAUSE_BUCKETS_S,
             registry=registry,
         )
+        self._stream_ends = Counter(
+            "boragespring_gateway_stream_ends",
+            "Ends of streams, by how the server's reply marks its end and whether it"
+            " ended within an event.",
+            ("end", "framing", "within_event"),
+            registry=registry,
+        )
         self._retries = Counter(
             "boragespring_gateway_repeats",
             "Requests sent to a further server, by what the one before did.",
@@ -76,6 +83,13 @@
         self._first_event_s.labels(*labels).observe(first_event_s)
         self._pause_s.labels(*labels).observe(longest_pause_s)
 
+    def record_stream_end(
+        self, end: str, framing: str, *, is_event_unterminated: bool
+    ) -> None:
+        """Count a stream by its end and by the end of the last server's reply."""
+        within_event = "yes" if is_event_unterminated else "no"
+        self._stream_ends.labels(end, framing, within_event).inc()
+
     def record_retry(self, outcome: str) -> None:
         """Count a retry on another server, by the outcome of the previous attempt."""
         self._retries.labels(outcome).inc()
--- a/src/boragespring/platform/emulator/engine.py
+++ b/src/boragespring/platform/emulator/engine.py
@@ -73,6 +73,13 @@
     run: _Run
 
 
+class _UnframedResponse(web.StreamResponse):
+    """Reply whose body ends when its connection is closed."""
+
+    # Without this, aiohttp sends a body of unknown length in chunks.
+    _length_check = False
+
+
 @define(eq=False)
 class EmulatedEngine:
     """Engine that streams numbered events; the data of each repeats its number.
@@ -98,6 +105,9 @@
     truncates_at_event : int
         Number of the event in whose middle the next stream that reaches it is
         truncated; 0 for never.
+    sends_unframed : bool
+        Whether streams have neither a length nor chunks, so that they end when
+        their connection is closed.
     preemptions : int
         Number of preemptions so far.
     leaves_at_s : float or None
@@ -115,6 +125,7 @@
     started_run_ids: list[str] = field(factory=list)
     refuses_copies: bool = False
     truncates_at_event: int = 0
+    sends_unframed: bool = False
     preemptions: int = 0
     leaves_at_s: float | None = None
     port: int = 0
@@ -260,14 +271,7 @@
     async def _stream(self, request: web.Request, run: _Run) -> web.StreamResponse:
         if not run.event_count:
             await asyncio.sleep(run.prompt_tokens / self.spec.prefill_tokens_per_s)
-        response = web.StreamResponse(
-            headers={
-                "Content-Type": "text/event-stream",
-                names.REQUEST_ID: run.run_id,
-                names.SIGNATURE: "signed",
-            }
-        )
-        response.enable_chunked_encoding()
+        response = self._create_response(run)
         await response.prepare(request)
         last_event_id = int(request.headers.get(names.LAST_EVENT_ID) or 0)
         # Events that were sent after the copy was taken are not repeated. Their
@@ -288,6 +292,20 @@
             await response.write(_encode_event(run.event_count))
         return response
 
+    def _create_response(self, run: _Run) -> web.StreamResponse:
+        headers = {
+            "Content-Type": "text/event-stream",
+            names.REQUEST_ID: run.run_id,
+            names.SIGNATURE: "signed",
+        }
+        if self.sends_unframed:
+            unframed = _UnframedResponse(headers=headers)
+            unframed.force_close()
+            return unframed
+        chunked = web.StreamResponse(headers=headers)
+        chunked.enable_chunked_encoding()
+        return chunked
+
     async def _wait_while_preempted(self, run: _Run) -> None:
         """Preempt a run if it is the newest one and the KV cache is full.
 
--- a/src/boragespring/platform/server_calls.py
+++ b/src/boragespring/platform/server_calls.py
@@ -17,6 +17,7 @@
     Attempt,
     CopyRefusedError,
     ReplyBrokenError,
+    ReplyFraming,
     ReplyHead,
     ReplyLostError,
     RunCopy,
@@ -31,6 +32,8 @@
 _OK = 200
 _NOT_FOUND = 404
 _MISDIRECTED = 421
+#: Statuses of replies that have no body.
+_BODILESS = (204, 304)
 #: Maximum length of a header line in a reply.
 HEADER_LINE_MAX_BYTES = 32 * 1024
 
@@ -73,18 +76,13 @@
                 yield chunk
         except (aiohttp.ClientError, OSError) as error:
             raise ReplyBrokenError(_describe(error)) from error
-        if self._ends_with_connection():
+        if self.head.framing is ReplyFraming.CONNECTION:
             await self._check_closed_cleanly()
 
     def close(self) -> None:
         """Close the connection, which makes the server cancel the request."""
         self._response.close()
 
-    def _ends_with_connection(self) -> bool:
-        headers = self._response.headers
-        is_framed = hdrs.CONTENT_LENGTH in headers or hdrs.TRANSFER_ENCODING in headers
-        return not is_framed and self._response.status not in (204, 304)
-
     async def _check_closed_cleanly(self) -> None:
         """Raise `ReplyBrokenError` if the connection was reset.
 
@@ -256,9 +254,18 @@
         was_not_run=names.NOT_RUN in headers,
         is_misdirected=response.status == _MISDIRECTED,
         is_encoded=encoding.strip().lower() not in ("", "identity"),
+        framing=_reply_framing(response),
     )
 
 
+def _reply_framing(response: aiohttp.ClientResponse) -> ReplyFraming:
+    if hdrs.TRANSFER_ENCODING in response.headers:
+        return ReplyFraming.CHUNKS
+    if hdrs.CONTENT_LENGTH in response.headers or response.status in _BODILESS:
+        return ReplyFraming.LENGTH
+    return ReplyFraming.CONNECTION
+
+
 def _parse_object(data: bytes) -> dict[str, Any]:
     body = json.loads(data) if data else {}
     return body if isinstance(body, dict) else {}
--- a/src/boragespring/platform/tests/test_forwarding_streams.py
+++ b/src/boragespring/platform/tests/test_forwarding_streams.py
@@ -1,6 +1,7 @@
 """Streams: event order, moves off leaving servers, crashes, disconnects."""
 
 import asyncio
+import contextlib
 
 import aiohttp
 import pytest
@@ -12,6 +13,7 @@
 from boragespring.platform.server_calls import HttpServerCalls
 from boragespring.platform.tests.support import (
     deployment,
+    log_records,
     prompt_headers,
     read_events,
     request_headers,
@@ -228,6 +230,23 @@
         assert len(_started_runs(platform)) == 1
 
 
+@pytest.mark.parametrize("sends_unframed", [False, True])
+async def test_log_states_how_a_truncated_reply_was_framed(session, sends_unframed):
+    async with deployment(engines=1) as platform:
+        engine = platform.engines["engine-0"]
+        engine.sends_unframed = sends_unframed
+        engine.truncates_at_event = 7
+        process = platform.gateways[0]
+        async with post_draft(session, process, "s1") as response:
+            with contextlib.suppress(aiohttp.ClientError):
+                await response.read()
+        await wait_until(lambda: log_records(process, "answered"))
+        (record,) = log_records(process, "answered")
+        assert record.framing == ("connection" if sends_unframed else "chunks")
+        assert record.events == 6
+        assert record.unterminated_bytes > 0
+
+
 async def test_preempted_run_completes_and_moves_with_the_others(session):
     spec = EngineSpec(memory_tokens=2900)
     async with deployment(engines=1, engine_spec=spec) as platform:
