Add a failing test: an unframed stream that ends within an event passes as complete

The test closes the connection of a stream without length and chunks within event 7; the caller must see the reply as truncated.

--- a/src/boragespring/platform/tests/test_forwarding_streams.py
+++ b/src/boragespring/platform/tests/test_forwarding_streams.py
@@ -230,6 +230,19 @@
         assert len(_started_runs(platform)) == 1
 
 
+async def test_unframed_stream_that_ends_within_an_event_is_not_passed_as_complete(
+    session,
+):
+    async with deployment(engines=1) as platform:
+        engine = platform.engines["engine-0"]
+        engine.sends_unframed = True
+        engine.truncates_at_event = 7
+        async with post_draft(session, platform.gateways[0], "s1") as response:
+            with pytest.raises(aiohttp.ClientError):
+                await response.read()
+        assert engine.started_run_ids == ["s1"]
+
+
 @pytest.mark.parametrize("sends_unframed", [False, True])
 async def test_log_states_how_a_truncated_reply_was_framed(session, sends_unframed):
     async with deployment(engines=1) as platform:
