Treat a stream that ends within an event as broken off

Cause: StreamRelay sent the bytes behind the last complete event on and ended the reply as complete whenever the server's reply ended in order. A reply without length and chunks ends with its connection, so an orderly close in the middle of an event is an orderly end for the HTTP client.

Why this works: an event ends with a blank line, so bytes without one are an unfinished event whatever the framing says. The end goes the way of any broken stream: a pending move may carry it on, else the caller's connection is aborted.

--- a/src/boragespring/forwarding/events.py
+++ b/src/boragespring/forwarding/events.py
@@ -5,6 +5,7 @@
 __all__ = ["EventSplitter", "StreamEvent"]
 
 _DELIMITERS = (b"\n\n", b"\r\n\r\n")
+_LINE_BREAKS = b"\r\n"
 _ID_FIELD = b"id:"
 
 
@@ -36,6 +37,11 @@
 
     remainder: bytes = b""
 
+    @property
+    def is_within_event(self) -> bool:
+        """Whether an event has begun and its terminating blank line is missing."""
+        return bool(self.remainder.strip(_LINE_BREAKS))
+
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Append bytes and return the events that are now complete."""
         self.remainder += data
--- a/src/boragespring/forwarding/stream_relay.py
+++ b/src/boragespring/forwarding/stream_relay.py
@@ -95,8 +95,11 @@
                 if stream.record_event(event.event_id):
                     await self._caller.write(event.data)
             stream.unterminated_bytes = len(splitter.remainder)
+        if splitter.is_within_event:
+            # An orderly close can be a broken run: without a length or chunks, the
+            # connection is all that marks the end of the reply.
+            raise ReplyBrokenError("the stream ended within an event")
         if splitter.remainder:
-            # The reply ended properly, so an unterminated last event is forwarded too.
             await self._caller.write(splitter.remainder)
 
     async def _wait_handover(self) -> Handover | None:
--- a/src/boragespring/forwarding/tests/test_events.py
+++ b/src/boragespring/forwarding/tests/test_events.py
@@ -1,5 +1,6 @@
 """Tests of splitting a byte stream into server-sent events."""
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -32,3 +33,19 @@
     splitter = EventSplitter()
     assert splitter.feed(b"id: 1\ndata: a\n") == []
     assert splitter.remainder == b"id: 1\ndata: a\n"
+
+
+@pytest.mark.parametrize(
+    ("data", "is_within_event"),
+    [
+        (b"", False),
+        (b"id: 1\ndata: a\n\n", False),
+        (b"id: 1\ndata: a\n\n\n", False),
+        (b"id: 1\ndata: a\n", True),
+        (b"id: 1\ndata: a\n\nid: 2", True),
+    ],
+)
+def test_end_of_data_within_an_event_is_recognised(data, is_within_event):
+    splitter = EventSplitter()
+    splitter.feed(data)
+    assert splitter.is_within_event is is_within_event
