Do not end a stream when the stop of its run closes an unframed reply

On the emulator a stream without length and chunks, whose server leaves, ended as complete after 16 of 100 events.

The last copy of a move stops the run and closes its stream without its end; a length or chunks show that, a bare connection does not. Only a broken reply waited for the move.

Change: the stream knows that its server was asked to stop the run (is_stopping) until the server says that it did not: a refusal, no such run, no connection. An orderly end of an unframed reply then waits for the move and goes on from there; if the server had no such run any more, the stream is complete and nothing is sent again.

Evidence: test_unframed_stream_is_not_ended_by_the_stop_of_its_run was red before (84 events missing); test_unframed_stream_that_ended_before_the_stop_is_complete guards the other side. 138 tests of platform/ and forwarding/ pass.

--- a/src/boragespring/forwarding/mover.py
+++ b/src/boragespring/forwarding/mover.py
@@ -13,6 +13,7 @@
     CopyRefusedError,
     ForwardingError,
     RunNotFoundError,
+    ServerUnreachableError,
 )
 from boragespring.forwarding.evacuation import Evacuation
 from boragespring.forwarding.messages import PromptShape
@@ -160,6 +161,7 @@
         handover: asyncio.Future[Handover | None]
         handover = asyncio.get_running_loop().create_future()
         stream.handover = handover
+        stream.is_stopping = True
         result: Handover | None = None
         try:
             copy = await self._context.calls.copy_run(
@@ -169,11 +171,16 @@
         except CopyRefusedError as error:
             if not error.copy_id:
                 stream.handover = None
+                stream.is_stopping = False
                 raise
             # The run has stopped and can only continue on its own server.
             result = Handover(source, source, error.copy_id)
-        except ForwardingError:
+        except ForwardingError as error:
             stream.handover = None
+            # Without a reply the server may have stopped the run all the same.
+            stream.is_stopping = not isinstance(
+                error, RunNotFoundError | ServerUnreachableError
+            )
             raise
         finally:
             if not handover.done():
--- a/src/boragespring/forwarding/running_stream.py
+++ b/src/boragespring/forwarding/running_stream.py
@@ -40,6 +40,9 @@
         Number of events received and of moves completed.
     handover : asyncio.Future or None
         Result of a move whose run is being stopped; None otherwise.
+    is_stopping : bool
+        Whether the server was asked to stop the run for a move and has not stated
+        that it did not.
     target : BackendServer or None
         Server to which the run is being moved; its load already includes the run.
     fallback : Handover or None
@@ -63,6 +66,7 @@
     events: int = 0
     moves: int = 0
     handover: asyncio.Future[Handover | None] | None = None
+    is_stopping: bool = False
     target: BackendServer | None = None
     fallback: Handover | None = None
     move_after_s: float = float("-inf")
@@ -117,6 +121,7 @@
         self.server = target
         self.target = None
         self.handover = None
+        self.is_stopping = False
         self.fallback = None
         self.move_after_s = float("-inf")
         self.moves += 1
--- a/src/boragespring/forwarding/stream_relay.py
+++ b/src/boragespring/forwarding/stream_relay.py
@@ -12,7 +12,12 @@
     ServerUnreachableError,
 )
 from boragespring.forwarding.events import EventSplitter
-from boragespring.forwarding.messages import CallerReply, ResumePoint, ServerReply
+from boragespring.forwarding.messages import (
+    CallerReply,
+    ReplyFraming,
+    ResumePoint,
+    ServerReply,
+)
 from boragespring.forwarding.running_stream import Handover, RunningStream
 
 __all__ = ["StreamRelay"]
@@ -67,14 +72,21 @@
         """
         while True:
             self._reply = reply
+            failure = ""
             try:
                 await self._relay_events(reply)
-                return ""
             except ReplyBrokenError as error:
                 failure = str(error)
+            if not failure and not self._may_be_stopped(reply):
+                return ""
             reply.close()
             handover = await self._wait_handover()
+            if not failure and not self._stream.is_stopping:
+                # The run had ended before the server was asked to stop it.
+                return ""
+            handover = handover or self._fallback()
             if handover is None:
+                failure = failure or "the run was stopped and not moved"
                 self._context.fleet.record_failure(self._stream.server, failure)
                 return failure
             reply = await self._resume_or_return(handover)
@@ -102,20 +114,32 @@
         if splitter.remainder:
             await self._caller.write(splitter.remainder)
 
+    def _may_be_stopped(self, reply: ServerReply) -> bool:
+        """Return whether an orderly end can be the stop of a run for its move.
+
+        The connection of a stopped run is closed without the end of the stream,
+        which only a length or chunks would show.
+        """
+        ends_with_connection = reply.head.framing is ReplyFraming.CONNECTION
+        return ends_with_connection and self._stream.is_stopping
+
     async def _wait_handover(self) -> Handover | None:
-        """Return where the run continues, or None if it was lost with its server."""
+        """Return where a move lets the run continue, or None if there is none."""
+        pending = self._stream.handover
+        if pending is None:
+            return None
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self._handover_timeout_s):
+                return await asyncio.shield(pending)
+        return None
+
+    def _fallback(self) -> Handover | None:
+        """Return the latest copy of a run whose server has terminated.
+
+        The target recomputes the tokens that are missing from the copy.
+        """
         stream = self._stream
-        pending = stream.handover
-        handover: Handover | None = None
-        if pending is not None:
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(self._handover_timeout_s):
-                    handover = await asyncio.shield(pending)
-        if handover is None and stream.server.is_leaving:
-            # The server has terminated. The run continues from the latest copy; the
-            # target recomputes the tokens that are missing from the copy.
-            return stream.fallback
-        return handover
+        return stream.fallback if stream.server.is_leaving else None
 
     async def _resume_or_return(self, handover: Handover) -> ServerReply:
         """Resume a run on its target or, if that cannot be reached, on its source.
--- a/src/boragespring/platform/tests/test_forwarding_streams.py
+++ b/src/boragespring/platform/tests/test_forwarding_streams.py
@@ -62,6 +62,59 @@
         assert max(pause_s for _, pause_s in results) < 0.18
 
 
+async def test_unframed_stream_is_not_ended_by_the_stop_of_its_run(session):
+    async with deployment(engines=2) as platform:
+        for engine in platform.engines.values():
+            engine.sends_unframed = True
+        task = asyncio.create_task(_read_stream(session, platform.gateways[0], "s1"))
+        await wait_until(lambda: _started_runs(platform))
+        await asyncio.sleep(0.3)
+        leaving_server = next(
+            server for server in platform.engines.values() if server.runs
+        )
+        reclaim = platform.reclaim(leaving_server.server_id, notice_s=0.8)
+        events, _ = await task
+        await reclaim
+        assert events == list(range(1, 101))
+        assert _started_runs(platform) == ["s1"]
+
+
+async def test_unframed_stream_that_ended_before_the_stop_is_complete(
+    session, monkeypatch
+):
+    copy_run = HttpServerCalls.copy_run
+
+    async def stop_too_late(calls, server, run_id, target, is_last):
+        if is_last:
+            await wait_until(lambda: not platform.engines[server.server_id].runs)
+        return await copy_run(calls, server, run_id, target, is_last)
+
+    monkeypatch.setattr(HttpServerCalls, "copy_run", stop_too_late)
+    async with deployment(engines=2) as platform:
+        for engine in platform.engines.values():
+            engine.sends_unframed = True
+        prompt = prompt_headers(1000, 80)
+        task = asyncio.create_task(
+            _read_stream(session, platform.gateways[0], "s1", prompt)
+        )
+        await wait_until(lambda: _started_runs(platform))
+        await asyncio.sleep(0.1)
+        leaving_server = next(
+            server for server in platform.engines.values() if server.runs
+        )
+        reclaim = platform.reclaim(leaving_server.server_id, notice_s=2.0)
+        events, _ = await task
+        await reclaim
+        assert events == list(range(1, 21))
+        resumed = [
+            headers
+            for engine in platform.engines.values()
+            for headers in engine.received_headers
+            if "kv-from" in headers
+        ]
+        assert not resumed
+
+
 async def test_moves_over_one_link_do_not_overlap(session):
     # Copying each run takes 0.2 s, so that all copies together fill the notice period.
     spec = EngineSpec(copy_s_per_token=0.0002)
