Treat an unframed stream without any event as broken off

What callers saw: on the emulator a stream without length and chunks, closed in order before its first event, was an empty answer that looked complete.

Evidence: test_stream_without_any_event_is_not_passed_as_complete[True] was red before (chunked, [False], was green); 24 tests of streams pass. Why it works: a generation has at least one event, so a stream that ends with none, to a caller who has none of an earlier request either, has been broken off. What stays: an unframed stream that is closed in order between two events looks like one that is complete.

--- a/src/boragespring/forwarding/running_stream.py
+++ b/src/boragespring/forwarding/running_stream.py
@@ -87,6 +87,11 @@
         """Whether the first event has arrived."""
         return self.events > 0
 
+    @property
+    def has_delivered_events(self) -> bool:
+        """Whether the caller has events of the stream, also of earlier requests."""
+        return self.is_started or bool(self.last_event_id)
+
     @property
     def memory_tokens(self) -> int:
         """Number of tokens of the run that are held in the server's memory."""
--- a/src/boragespring/forwarding/stream_relay.py
+++ b/src/boragespring/forwarding/stream_relay.py
@@ -111,6 +111,10 @@
             # An orderly close can be a broken run: without a length or chunks, the
             # connection is all that marks the end of the reply.
             raise ReplyBrokenError("the stream ended within an event")
+        is_unframed = reply.head.framing is ReplyFraming.CONNECTION
+        if is_unframed and not stream.has_delivered_events:
+            # Each generation has at least one event.
+            raise ReplyBrokenError("the stream ended before its first event")
         if splitter.remainder:
             await self._caller.write(splitter.remainder)
 
--- a/src/boragespring/platform/emulator/engine.py
+++ b/src/boragespring/platform/emulator/engine.py
@@ -105,6 +105,9 @@
     truncates_at_event : int
         Number of the event in whose middle the next stream that reaches it is
         truncated; 0 for never.
+    closes_before_event : int
+        Number of the event before which the connection of the next stream that
+        reaches it is closed; 0 for never.
     sends_unframed : bool
         Whether streams have neither a length nor chunks, so that they end when
         their connection is closed.
@@ -125,6 +128,7 @@
     started_run_ids: list[str] = field(factory=list)
     refuses_copies: bool = False
     truncates_at_event: int = 0
+    closes_before_event: int = 0
     sends_unframed: bool = False
     preemptions: int = 0
     leaves_at_s: float | None = None
@@ -285,6 +289,9 @@
             if run.is_moved:
                 return _truncate(request, response)
             run.event_count += 1
+            if run.event_count == self.closes_before_event:
+                self.closes_before_event = 0
+                return _truncate(request, response)
             if run.event_count == self.truncates_at_event:
                 self.truncates_at_event = 0
                 await response.write(_encode_event(run.event_count)[:-6])
--- a/src/boragespring/platform/tests/test_forwarding_streams.py
+++ b/src/boragespring/platform/tests/test_forwarding_streams.py
@@ -296,6 +296,19 @@
         assert engine.started_run_ids == ["s1"]
 
 
+@pytest.mark.parametrize("sends_unframed", [False, True])
+async def test_stream_without_any_event_is_not_passed_as_complete(
+    session, sends_unframed
+):
+    async with deployment(engines=1) as platform:
+        engine = platform.engines["engine-0"]
+        engine.sends_unframed = sends_unframed
+        engine.closes_before_event = 1
+        async with post_draft(session, platform.gateways[0], "s1") as response:
+            with pytest.raises(aiohttp.ClientError):
+                await response.read()
+
+
 @pytest.mark.parametrize("sends_unframed", [False, True])
 async def test_log_states_how_a_truncated_reply_was_framed(session, sends_unframed):
     async with deployment(engines=1) as platform:
