Do not take a reset unframed reply of a plain service for a complete one

What callers saw: the agent would pass on the reply of a plain service as complete when its connection was reset and the reply had neither a length nor chunks.

Cause: aiohttp ends such a body in the same way for an orderly close and for a reset. The gateway's adapter looked at how the connection ended, the client of plain services did not.

Change: the check is a class of its own (http/reply_end.py) that both use, so that it stands once.

--- a/src/boragespring/engines/service_client.py
+++ b/src/boragespring/engines/service_client.py
@@ -19,6 +19,7 @@
     parse_load_report,
 )
 from boragespring.engines.vendors import Orca
+from boragespring.http.reply_end import ReplyEnd
 
 __all__ = ["HttpServiceClient", "ServiceClientSettings", "create_service_client"]
 
@@ -85,7 +86,9 @@
                 data=call.body,
                 allow_redirects=False,
             ) as response:
+                reply_end = ReplyEnd(response)
                 body = await response.read()
+                await reply_end.check()
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise CallNotRunError(f"cannot connect to the service: {error}") from error
         except aiohttp.InvalidURL as error:
--- a/src/boragespring/engines/tests/test_service_client.py
+++ b/src/boragespring/engines/tests/test_service_client.py
@@ -1,5 +1,9 @@
 """Tests for the HTTP client of plain services."""
 
+import asyncio
+import socket
+import struct
+
 import pytest
 
 from boragespring.engines import (
@@ -45,3 +49,33 @@
     with pytest.raises(CallNotRunError):
         await client.call(CALL)
     assert not service.ledger
+
+
+@pytest.mark.parametrize("is_reset", [False, True])
+async def test_reply_without_a_length_is_complete_unless_its_connection_is_reset(
+    is_reset,
+):
+    async def reply_without_length(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\n\r\nbooked")
+        await writer.drain()
+        await asyncio.sleep(0.02)
+        if is_reset:
+            linger = struct.pack("ii", 1, 0)
+            connection = writer.get_extra_info("socket")
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        writer.close()
+
+    server = await asyncio.start_server(reply_without_length, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    client = create_service_client(f"http://127.0.0.1:{port}")
+    try:
+        if is_reset:
+            with pytest.raises(CallOutcomeUnknownError):
+                await client.call(ServiceCall("POST", "/pickups", {}, b""))
+        else:
+            reply = await client.call(ServiceCall("POST", "/pickups", {}, b""))
+            assert reply.body == b"booked"
+    finally:
+        await client.close()
+        server.close()
--- a/src/boragespring/forwarding/messages.py
+++ b/src/boragespring/forwarding/messages.py
@@ -8,6 +8,7 @@
 
 from boragespring.fleet import BackendServer, ServerAddress
 from boragespring.fleet.model import ServerReport
+from boragespring.http.reply_end import ReplyFraming
 
 __all__ = [
     "Attempt",
@@ -19,7 +20,6 @@
     "PromptShape",
     "Refusal",
     "RefusalReason",
-    "ReplyFraming",
     "ReplyHead",
     "ResumePoint",
     "RunCopy",
@@ -166,15 +166,6 @@
     last_event_id: str = ""
 
 
-class ReplyFraming(StrEnum):
-    """How a reply marks the end of its body."""
-
-    LENGTH = "length"
-    CHUNKS = "chunks"
-    #: The body ends when the server closes the connection.
-    CONNECTION = "connection"
-
-
 @frozen
 class ReplyHead:
     """Status and headers of a reply.
--- a/src/boragespring/forwarding/running_stream.py
+++ b/src/boragespring/forwarding/running_stream.py
@@ -8,7 +8,7 @@
 from boragespring.fleet import BackendServer
 from boragespring.fleet.model import RunLoad
 from boragespring.forwarding.jobs import Job
-from boragespring.forwarding.messages import ReplyFraming
+from boragespring.http.reply_end import ReplyFraming
 
 __all__ = ["Handover", "RunningStream"]
 
--- a/src/boragespring/forwarding/stream_relay.py
+++ b/src/boragespring/forwarding/stream_relay.py
@@ -14,11 +14,11 @@
 from boragespring.forwarding.events import EventSplitter
 from boragespring.forwarding.messages import (
     CallerReply,
-    ReplyFraming,
     ResumePoint,
     ServerReply,
 )
 from boragespring.forwarding.running_stream import Handover, RunningStream
+from boragespring.http.reply_end import ReplyFraming
 
 __all__ = ["StreamRelay"]
 
--- a/src/boragespring/forwarding/streaming.py
+++ b/src/boragespring/forwarding/streaming.py
@@ -21,7 +21,6 @@
     PromptShape,
     Refusal,
     RefusalReason,
-    ReplyFraming,
     ServerReply,
 )
 from boragespring.forwarding.move_scheduler import MoveScheduler
@@ -38,6 +37,7 @@
 )
 from boragespring.forwarding.running_stream import RunningStream
 from boragespring.forwarding.stream_relay import StreamRelay
+from boragespring.http.reply_end import ReplyFraming
 
 __all__ = ["StreamForwarder", "StreamOutcome", "StreamSettings"]
 
--- a/src/boragespring/platform/server_calls.py
+++ b/src/boragespring/platform/server_calls.py
@@ -17,13 +17,13 @@
     Attempt,
     CopyRefusedError,
     ReplyBrokenError,
-    ReplyFraming,
     ReplyHead,
     ReplyLostError,
     RunCopy,
     RunNotFoundError,
     ServerUnreachableError,
 )
+from boragespring.http.reply_end import ReplyEnd, ReplyFraming
 from boragespring.platform import names
 from boragespring.platform.sockets import create_socket
 
@@ -32,8 +32,6 @@
 _OK = 200
 _NOT_FOUND = 404
 _MISDIRECTED = 421
-#: Statuses of replies that have no body.
-_BODILESS = (204, 304)
 #: Maximum length of a header line in a reply.
 HEADER_LINE_MAX_BYTES = 32 * 1024
 
@@ -62,40 +60,22 @@
 
     def __init__(self, response: aiohttp.ClientResponse) -> None:
         self._response = response
-        self.head = _reply_head(response)
-        connection = response.connection
-        protocol = connection.protocol if connection is not None else None
-        # aiohttp stores the cause of a lost connection in this future only if
-        # the future was requested before the loss.
-        self._connection_closed = protocol.closed if protocol is not None else None
+        self._end = ReplyEnd(response)
+        self.head = _reply_head(response, self._end.framing)
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield the body; raise `ReplyBrokenError` if it is truncated."""
         try:
             async for chunk in self._response.content.iter_any():
                 yield chunk
+            await self._end.check()
         except (aiohttp.ClientError, OSError) as error:
             raise ReplyBrokenError(_describe(error)) from error
-        if self.head.framing is ReplyFraming.CONNECTION:
-            await self._check_closed_cleanly()
 
     def close(self) -> None:
         """Close the connection, which makes the server cancel the request."""
         self._response.close()
 
-    async def _check_closed_cleanly(self) -> None:
-        """Raise `ReplyBrokenError` if the connection was reset.
-
-        A body without a length ends when the connection closes, and aiohttp ends
-        it in the same way when the connection is reset.
-        """
-        if self._connection_closed is None:
-            return
-        try:
-            await self._connection_closed
-        except aiohttp.ClientError as error:
-            raise ReplyBrokenError(_describe(error)) from error
-
 
 class HttpServerCalls:
     """Client for the HTTP calls to backend servers.
@@ -239,7 +219,7 @@
     return headers
 
 
-def _reply_head(response: aiohttp.ClientResponse) -> ReplyHead:
+def _reply_head(response: aiohttp.ClientResponse, framing: ReplyFraming) -> ReplyHead:
     headers = response.headers
     encoding = headers.get(hdrs.CONTENT_ENCODING, "identity")
     return ReplyHead(
@@ -254,18 +234,10 @@
         was_not_run=names.NOT_RUN in headers,
         is_misdirected=response.status == _MISDIRECTED,
         is_encoded=encoding.strip().lower() not in ("", "identity"),
-        framing=_reply_framing(response),
+        framing=framing,
     )
 
 
-def _reply_framing(response: aiohttp.ClientResponse) -> ReplyFraming:
-    if hdrs.TRANSFER_ENCODING in response.headers:
-        return ReplyFraming.CHUNKS
-    if hdrs.CONTENT_LENGTH in response.headers or response.status in _BODILESS:
-        return ReplyFraming.LENGTH
-    return ReplyFraming.CONNECTION
-
-
 def _parse_object(data: bytes) -> dict[str, Any]:
     body = json.loads(data) if data else {}
     return body if isinstance(body, dict) else {}
