Do not pass on an error reply that was shortened

Cause: the loop left at the limit and went on as if the body were complete. Change: the reply counts as lost (502, may have run), as it does for buffered requests. Evidence: test_error_reply_that_is_too_large_is_not_passed_on_shortened was red before (500 with the signature instead of 502).

--- a/src/boragespring/forwarding/streaming.py
+++ b/src/boragespring/forwarding/streaming.py
@@ -289,7 +289,7 @@
                 async for chunk in opened.reply.chunks():
                     body += chunk
                     if len(body) > self._settings.body_max_bytes:
-                        break
+                        return Refusal(RefusalReason.REPLY_LOST, was_not_run=False)
         except (ReplyBrokenError, TimeoutError):
             return Refusal(RefusalReason.REPLY_LOST, was_not_run=False)
         finally:
--- a/src/boragespring/platform/emulator/service.py
+++ b/src/boragespring/platform/emulator/service.py
@@ -78,6 +78,8 @@
         Fault of every reply while `faults` is empty.
     received : list of ReceivedRequest
         All requests received so far.
+    error_body : bytes
+        Body of the replies with the fault `ERROR`.
     runs : list of str
         Request IDs of all executions, including cancelled ones.
     cancelled : list of str
@@ -92,6 +94,7 @@
     faults: deque[ServiceFault] = field(factory=deque)
     default_fault: ServiceFault = ServiceFault.NONE
     received: list[ReceivedRequest] = field(factory=list)
+    error_body: bytes = b""
     runs: list[str] = field(factory=list)
     cancelled: list[str] = field(factory=list)
     port: int = 0
@@ -161,7 +164,7 @@
         complete_reply = _encode_reply(200, request_id, self.body, signed)
         match fault:
             case ServiceFault.ERROR:
-                writer.write(_encode_reply(500, request_id, b"", signed))
+                writer.write(_encode_reply(500, request_id, self.error_body, signed))
             case ServiceFault.RESET:
                 _reset_connection(writer)
             case ServiceFault.HANG:
--- a/src/boragespring/platform/tests/test_forwarding_streams.py
+++ b/src/boragespring/platform/tests/test_forwarding_streams.py
@@ -8,8 +8,9 @@
 from attrs import evolve
 
 from boragespring.forwarding.errors import ServerUnreachableError
-from boragespring.platform.emulator import EngineSpec
-from boragespring.platform.emulator.deployment import STANDARD_ROUTES
+from boragespring.forwarding.streaming import StreamSettings
+from boragespring.platform.emulator import EngineSpec, ServiceFault
+from boragespring.platform.emulator.deployment import PLAIN_SERVICE, STANDARD_ROUTES
 from boragespring.platform.server_calls import HttpServerCalls
 from boragespring.platform.tests.support import (
     deployment,
@@ -326,6 +327,17 @@
         assert record.unterminated_bytes > 0
 
 
+async def test_error_reply_that_is_too_large_is_not_passed_on_shortened(session):
+    route = evolve(STANDARD_ROUTES[0], service=PLAIN_SERVICE)
+    async with deployment(services=1, routes=(route,)) as platform:
+        service = platform.services["desk-0"]
+        service.default_fault = ServiceFault.ERROR
+        service.error_body = b"x" * (StreamSettings().body_max_bytes + 1)
+        async with post_draft(session, platform.gateways[0], "s1") as response:
+            assert response.status == 502
+            assert "Boragespring-Response-Signature" not in response.headers
+
+
 async def test_preempted_run_completes_and_moves_with_the_others(session):
     spec = EngineSpec(memory_tokens=2900)
     async with deployment(engines=1, engine_spec=spec) as platform:
