Compare positions of the store as era and revision

Revisions alone then make lost changes look newer than those that replace them: a follower ignored what was written after the return until the revisions had caught up, kept what was lost, and a server that had left was served again from its old entry.

Change: the adapter reads Store-Era; StorePosition (era, revision) replaces bare revisions in the follower, in what gateways tell each other and in what they take from each other; a later era means reading all keys again. A lease is renewed only within its era. Entries of one process are ordered by their heartbeat count, also those of servers that have left.

--- a/src/boragespring/fleet/model.py
+++ b/src/boragespring/fleet/model.py
@@ -51,6 +51,8 @@
         Time in seconds after its start during which the server is slow.
     started_at_ms : int
         Start time by the server's clock; compared for equality only.
+    sequence : int
+        Number of heartbeats since that start; 0 if it is unknown.
     """
 
     server_id: str
@@ -61,6 +63,13 @@
     is_leaving: bool = False
     warm_up_s: float = 0.0
     started_at_ms: int = 0
+    sequence: int = 0
+
+    def is_same_process(self, other: "Registration") -> bool:
+        """Return whether both were written by the same process."""
+        return (
+            self.started_at_ms == other.started_at_ms and self.address == other.address
+        )
 
 
 @frozen
--- a/src/boragespring/fleet/state.py
+++ b/src/boragespring/fleet/state.py
@@ -6,6 +6,7 @@
 from attrs import frozen
 
 from boragespring.decisions import DecisionLog
+from boragespring.fleet.departed import DepartedServers
 from boragespring.fleet.model import BackendServer, Registration
 
 __all__ = ["Fleet", "FleetSettings"]
@@ -63,6 +64,7 @@
         self._servers: dict[str, BackendServer] = {}
         self._candidates: dict[str, tuple[BackendServer, ...]] = {}
         self._lapsed_at_s: dict[str, float] = {}
+        self._departed = DepartedServers()
         self.join_hooks: list[ServerHook] = []
         self.leave_hooks: list[ServerHook] = []
 
@@ -90,10 +92,17 @@
         return found
 
     def register(self, registration: Registration) -> None:
-        """Add or update a server by its registration."""
+        """Add or update a server by its registration.
+
+        An entry that is older than the last one of the same process is ignored. A
+        store that lost acknowledged changes holds such entries, also of servers that
+        have left, until they are written again or expire.
+        """
+        if self._is_outdated(registration):
+            return
         self._lapsed_at_s.pop(registration.server_id, None)
         server = self._servers.get(registration.server_id)
-        if server is None or _is_other_process(server.registration, registration):
+        if server is None or not registration.is_same_process(server.registration):
             self._join(registration)
             return
         if registration.service != server.registration.service:
@@ -118,6 +127,7 @@
         if server is None:
             return
         server.is_registered = False
+        self._departed.add(server.registration)
         self._leave(server, reason)
         self._remove_if_idle(server)
 
@@ -131,9 +141,9 @@
         registrations : iterable of Registration
             Every entry that could be parsed.
         is_after_outage : bool
-            Whether entries may be missing because they expired during an outage
-            of the store. Their servers then have `lapse_grace_s` to register
-            again.
+            Whether entries may be missing because they expired or were lost during
+            an outage of the store. Their servers then have `lapse_grace_s` to
+            register again.
         """
         found = {entry.server_id: entry for entry in registrations}
         for registration in found.values():
@@ -141,7 +151,8 @@
         for server in list(self._servers.values()):
             if server.server_id in found or not server.is_registered:
                 continue
-            if is_after_outage:
+            # A snapshot that follows soon does not end the grace period.
+            if is_after_outage or server.server_id in self._lapsed_at_s:
                 self._lapsed_at_s.setdefault(server.server_id, self._clock())
             else:
                 self.unregister(server.server_id, "not listed")
@@ -197,6 +208,14 @@
         server.consecutive_failures = 0
         self._log_change("server_suspected", server, reason=reason, for_s=duration_s)
 
+    def _is_outdated(self, registration: Registration) -> bool:
+        server = self._servers.get(registration.server_id)
+        if server is None or not server.is_registered:
+            return self._departed.is_outdated(registration)
+        known = server.registration
+        is_older = 0 < registration.sequence < known.sequence
+        return is_older and registration.is_same_process(known)
+
     def _join(self, registration: Registration) -> None:
         server = BackendServer(registration, joined_at_s=self._clock())
         self._servers[registration.server_id] = server
@@ -231,7 +250,3 @@
             availability_zone=registration.availability_zone,
             **inputs,
         )
-
-
-def _is_other_process(old: Registration, new: Registration) -> bool:
-    return old.started_at_ms != new.started_at_ms or old.address != new.address
--- a/src/boragespring/gateway_peers/messages.py
+++ b/src/boragespring/gateway_peers/messages.py
@@ -29,10 +29,13 @@
         Revision of the last change that the snapshot contains.
     age_ms : int
         Time in milliseconds since the snapshot was known to be complete.
+    era : int
+        Era of the store to which the revision belongs.
     """
 
     content_revision: int
     age_ms: int
+    era: int = 0
 
 
 @message(142)
@@ -54,12 +57,15 @@
         Time in milliseconds since the snapshot was known to be complete.
     items : list
         One row for each key: key, value and revision of its last change.
+    era : int
+        Era of the store to which all revisions belong.
     """
 
     revision: int
     content_revision: int
     age_ms: int
     items: list[Any]
+    era: int = 0
 
 
 @message(144)
@@ -125,11 +131,14 @@
     rows : list
         One row for each change: key, value (nil if the key was removed), and
         revision.
+    era : int
+        Era of the store to which all revisions belong.
     """
 
     after_revision: int
     revision: int
     rows: list[Any]
+    era: int = 0
 
 
 @message(149)
--- a/src/boragespring/gateway_peers/presence.py
+++ b/src/boragespring/gateway_peers/presence.py
@@ -13,6 +13,7 @@
 from boragespring.store.store import (
     ABSENT_REVISION,
     ConditionalWrite,
+    Lease,
     LeaseExpiredError,
     WatchEvent,
 )
@@ -73,7 +74,7 @@
         self._settings = settings
         self._log = log
         self._gateways: dict[str, Instance] = {}
-        self._lease_id = 0
+        self._lease: Lease | None = None
 
     async def run(self) -> None:
         """Maintain the entry until cancelled."""
@@ -81,7 +82,7 @@
             try:
                 delay_s = await self._maintain_lease()
             except LeaseExpiredError:
-                self._lease_id = 0
+                self._lease = None
                 delay_s = 0.0
             except StoreError as error:
                 self._log.state_change("presence_unwritten", reason=str(error))
@@ -90,10 +91,10 @@
 
     async def withdraw(self) -> None:
         """Remove the entry, so that other gateways stop dialling this one."""
-        if not self._lease_id:
+        if self._lease is None:
             return
         try:
-            await self._store.revoke_lease(self._lease_id)
+            await self._store.revoke_lease(self._lease.lease_id)
         except StoreError as error:
             self._log.lifecycle("presence_left_to_expire", reason=str(error))
 
@@ -133,12 +134,15 @@
 
     async def _maintain_lease(self) -> float:
         """Grant or renew the lease; return the delay until the next renewal."""
-        if not self._lease_id:
+        if self._lease is None:
             lease = await self._store.grant_lease(self._settings.lease_ttl_s)
             await self._write_entry(lease.lease_id)
-            self._lease_id = lease.lease_id
+            self._log.state_change("presence_written", era=lease.era)
         else:
-            lease = await self._store.renew_lease(self._lease_id)
+            lease = await self._store.renew_lease(self._lease.lease_id)
+            if lease.era != self._lease.era:
+                raise LeaseExpiredError(f"the store began era {lease.era}")
+        self._lease = lease
         return lease.ttl_s * self._settings.renewal_fraction
 
     async def _write_entry(self, lease_id: int) -> None:
--- a/src/boragespring/gateway_peers/store_snapshots.py
+++ b/src/boragespring/gateway_peers/store_snapshots.py
@@ -24,6 +24,7 @@
 from boragespring.links import CallFailedError, Dispatcher, Link, LinkClosedError
 from boragespring.store import KeyValue
 from boragespring.store.follower import PrefixFollower
+from boragespring.store.position import StorePosition
 from boragespring.store.store import WatchBatch, WatchEvent
 
 __all__ = ["SnapshotSharing", "SnapshotSharingSettings"]
@@ -68,14 +69,14 @@
     ----------
     link : Link
         Link on which the report arrived.
-    content_revision : int
-        Revision of the last change that the snapshot contains.
+    content_position : StorePosition
+        Position of the last change that the snapshot contains.
     complete_at_s : float
         Monotonic time in seconds at which the snapshot was known to be complete.
     """
 
     link: Link
-    content_revision: int
+    content_position: StorePosition
     complete_at_s: float
 
 
@@ -115,7 +116,7 @@
         #: Monotonic time since which a peer's snapshot contains a change that the
         #: local one lacks; infinite if none does.
         self._behind_since_s = float("inf")
-        self._forwarded_revision = 0
+        self._forwarded_position = StorePosition()
         self._settings = settings
         self._log = log
         self._clock = clock
@@ -162,7 +163,7 @@
 
     def _is_outdated(self, newest: _PeerSnapshot) -> bool:
         """Return whether the local snapshot lacks changes that will not arrive."""
-        if newest.content_revision <= self._follower.content_revision:
+        if newest.content_position <= self._follower.content_position:
             self._behind_since_s = float("inf")
             return False
         self._behind_since_s = min(self._behind_since_s, self._clock())
@@ -175,8 +176,8 @@
 
     async def _adopt(self, newer: _PeerSnapshot) -> None:
         """Confirm the local snapshot by an equal one, or fetch the peer's."""
-        if newer.content_revision == self._follower.content_revision:
-            self._follower.confirm_snapshot(newer.content_revision, newer.complete_at_s)
+        if newer.content_position == self._follower.content_position:
+            self._follower.confirm_snapshot(newer.content_position, newer.complete_at_s)
             return
         requested_at_s = self._clock()
         try:
@@ -195,22 +196,30 @@
         complete_at_s = requested_at_s - reply.age_ms / 1000
         self._has_gap = False
         self._follower.apply_peer_snapshot(
-            items, reply.revision, reply.content_revision, complete_at_s
+            items,
+            StorePosition(reply.era, reply.revision),
+            StorePosition(reply.era, reply.content_revision),
+            complete_at_s,
         )
         self._log.state_change(
             "copy_taken",
             peer=newer.link.peer.name,
+            era=reply.era,
             revision=reply.revision,
             age_ms=reply.age_ms,
         )
 
-    def _forward_changes(self, after_revision: int, batch: WatchBatch) -> None:
+    def _forward_changes(
+        self, after_position: StorePosition, batch: WatchBatch
+    ) -> None:
         rows = [
             [event.key, event.item.value if event.item else None, event.revision]
             for event in batch.events
         ]
-        self._forwarded_revision = max(self._forwarded_revision, batch.revision)
-        self._network.broadcast(StoreChanges(after_revision, batch.revision, rows))
+        self._forwarded_position = max(self._forwarded_position, batch.position)
+        self._network.broadcast(
+            StoreChanges(after_position.revision, batch.revision, rows, batch.era)
+        )
 
     def _handle_changes(self, _: Link, changes: StoreChanges) -> None:
         events = tuple(
@@ -221,21 +230,21 @@
             )
             for key, value, revision in changes.rows
         )
-        batch = WatchBatch(changes.revision, events)
-        self._has_gap |= not self._follower.apply_peer_batch(
-            changes.after_revision, batch
-        )
-        if changes.revision > self._forwarded_revision:
+        batch = WatchBatch(changes.revision, events, changes.era)
+        after_position = StorePosition(changes.era, changes.after_revision)
+        self._has_gap |= not self._follower.apply_peer_batch(after_position, batch)
+        if batch.position > self._forwarded_position:
             # Several gateways watch the store and send the same changes.
-            self._forwarded_revision = changes.revision
+            self._forwarded_position = batch.position
             self._network.forward_to_joined(changes)
 
     def _handle_age(self, link: Link, age: SnapshotAge) -> None:
         complete_at_s = self._clock() - age.age_ms / 1000
+        content_position = StorePosition(age.era, age.content_revision)
         self._peer_snapshots[link.peer.name] = _PeerSnapshot(
-            link, age.content_revision, complete_at_s
+            link, content_position, complete_at_s
         )
-        self._follower.confirm_snapshot(age.content_revision, complete_at_s)
+        self._follower.confirm_snapshot(content_position, complete_at_s)
 
     def _discard_peer(self, link: Link) -> None:
         """Discard the report of a closed link unless a newer link replaced it."""
@@ -244,17 +253,19 @@
             del self._peer_snapshots[link.peer.name]
 
     def _send_age(self, link: Link) -> None:
-        if self._follower.revision:
-            link.send(SnapshotAge(self._follower.content_revision, self._age_ms()))
+        if self._follower.position.revision:
+            content = self._follower.content_position
+            link.send(SnapshotAge(content.revision, self._age_ms(), content.era))
 
     async def _handle_read(self, _: Link, __: ReadSnapshot) -> SnapshotReply:
         items = self._follower.items
         rows = [[item.key, item.value, item.mod_revision] for item in items]
         return SnapshotReply(
-            self._follower.revision,
-            self._follower.content_revision,
+            self._follower.position.revision,
+            self._follower.content_position.revision,
             self._age_ms(),
             rows,
+            self._follower.position.era,
         )
 
     def _age_ms(self) -> int:
--- a/src/boragespring/platform/emulator/deployment.py
+++ b/src/boragespring/platform/emulator/deployment.py
@@ -1,6 +1,7 @@
 """Emulated deployment on loopback: store, backend servers and gateways."""
 
 import asyncio
+import itertools
 import json
 import time
 from collections.abc import Iterable, Sequence
@@ -135,6 +136,7 @@
     services: dict[str, EmulatedService] = field(factory=dict)
     gateways: list[GatewayProcess] = field(factory=list)
     _engines_by_address: dict[str, EmulatedEngine] = field(factory=dict)
+    _sequences: "itertools.count[int]" = field(factory=lambda: itertools.count(1))
 
     async def start(self, engines: int = 0, services: int = 0) -> None:
         """Start the store and the given number of servers; write the catalog."""
@@ -213,7 +215,7 @@
             "slots": slots,
             "state": state,
             "cold_remaining_ms": 0,
-            "sequence": 1,
+            "sequence": next(self._sequences),
             "born": 1,
         }
         key = names.REGISTRATION_PREFIX + name
--- a/src/boragespring/platform/emulator/store.py
+++ b/src/boragespring/platform/emulator/store.py
@@ -11,6 +11,7 @@
 from aiohttp import web
 from attrs import define, field
 
+from boragespring.platform import names
 from boragespring.store.keyspace import Keyspace
 from boragespring.store.store import (
     ConditionalWrite,
@@ -131,6 +132,14 @@
         self, request: web.Request, handler: Handler
     ) -> web.StreamResponse:
         self.calls[request.path.split("/")[1]] += 1
+        response = await self._respond(request, handler)
+        if not response.prepared:
+            response.headers[names.STORE_ERA] = str(1 + self.keyspace.generation)
+        return response
+
+    async def _respond(
+        self, request: web.Request, handler: Handler
+    ) -> web.StreamResponse:
         if self.mode is StoreMode.BUSY:
             return web.json_response({}, status=503)
         if self.mode is StoreMode.REFUSING or self._is_over_rate():
@@ -178,6 +187,9 @@
         after_revision = int(request.query["after_revision"])
         deadline_s = time.monotonic() + int(request.query["wait_ms"]) / 1000
         end_key = prefix_end(prefix) if prefix else ""
+        if after_revision > self.keyspace.revision:
+            return web.json_response({}, status=410)
+        generation = self.keyspace.generation
         while True:
             try:
                 batches = self.keyspace.events_from(prefix, end_key, after_revision + 1)
@@ -187,7 +199,8 @@
             if batches or remaining_s <= 0:
                 break
             await self.keyspace.wait_for_change(remaining_s)
-            if self.mode is not StoreMode.SERVING:
+            is_restored = self.keyspace.generation != generation
+            if self.mode is not StoreMode.SERVING or is_restored:
                 return _reset_connection(request)
         events = [
             _item_document(event.item)
--- a/src/boragespring/platform/names.py
+++ b/src/boragespring/platform/names.py
@@ -46,6 +46,10 @@
 SERVER_LOAD: Final = "Boragespring-Server-Load"
 RETRY_AFTER: Final = "Retry-After"
 
+# Header of every reply of the store. Its value rises by one each time that the store
+# returns without changes that it had acknowledged.
+STORE_ERA: Final = "Store-Era"
+
 #: Headers that apply to a single connection and are not forwarded, in lower case.
 HOP_BY_HOP_HEADERS: Final = frozenset(
     (
--- a/src/boragespring/platform/registration_codec.py
+++ b/src/boragespring/platform/registration_codec.py
@@ -28,6 +28,8 @@
     cold_remaining_ms: float = 0.0
     # Start time in milliseconds.
     born: int = 0
+    # Number of heartbeats since the start.
+    sequence: int = 0
 
 
 def server_id_of(key: str) -> str:
@@ -67,4 +69,5 @@
         is_leaving=is_leaving,
         warm_up_s=wire.cold_remaining_ms / 1000,
         started_at_ms=wire.born,
+        sequence=wire.sequence,
     )
--- a/src/boragespring/platform/store_client.py
+++ b/src/boragespring/platform/store_client.py
@@ -5,11 +5,12 @@
 import binascii
 import json
 from collections.abc import AsyncGenerator, Callable, Mapping, Sequence
-from typing import Any
+from typing import Any, NamedTuple
 
 import aiohttp
 from attrs import frozen
 
+from boragespring.platform import names
 from boragespring.platform.sockets import create_socket
 from boragespring.store.store import (
     ConditionalWrite,
@@ -62,6 +63,14 @@
     poll_timeout_margin_s: float = 0.7
 
 
+class _StoreReply(NamedTuple):
+    """Reply of the store with the era in which it was given."""
+
+    status: int
+    body: Mapping[str, Any]
+    era: int
+
+
 class PlatformStore:
     """Implementation of `KeyValueStore` on the platform's HTTP interface.
 
@@ -82,7 +91,7 @@
 
     async def get(self, key: str) -> GetResult:
         """Read one key."""
-        status, body = await self._read("/kv-key", {"key": key})
+        status, body, _ = await self._read("/kv-key", {"key": key})
         if status == _NOT_FOUND:
             return GetResult(None, _parse_revision(body, 0))
         return GetResult(_parse_item(body), _parse_revision(body, 0))
@@ -91,6 +100,7 @@
         """Read the keys under a prefix, page by page."""
         items: list[KeyValue] = []
         first_page_revision = 0
+        era = 0
         after = ""
         while True:
             query = {"path_prefix": prefix}
@@ -98,16 +108,19 @@
                 # Despite its name, this parameter takes the last key of the
                 # previous page.
                 query["after_revision"] = after
-            _, body = await self._read("/kv-range", query)
+            _, body, page_era = await self._read("/kv-range", query)
+            if after and page_era != era:
+                raise StoreUnavailableError("the store began an era while it was read")
+            era = page_era
             # The pages are not read at one revision. A watch that starts at the
             # revision of the first page misses no change.
             first_page_revision = first_page_revision or _parse_revision(body, 0)
             page = [_parse_item(entry) for entry in _parse_objects(body, "items")]
             items += page
             if limit and len(items) >= limit:
-                return RangeResult(tuple(items[:limit]), first_page_revision)
+                return RangeResult(tuple(items[:limit]), first_page_revision, era)
             if not body.get("has_more") or not page:
-                return RangeResult(tuple(items), first_page_revision)
+                return RangeResult(tuple(items), first_page_revision, era)
             after = page[-1].key
 
     async def write(self, write: ConditionalWrite) -> WriteResult:
@@ -129,7 +142,7 @@
             "puts": puts,
             "remove": [write.key] if write.value is None else [],
         }
-        status, body = await self._mutate("POST", "/kv-txn", request)
+        status, body, _ = await self._mutate("POST", "/kv-txn", request)
         if status == _NOT_FOUND:
             raise LeaseExpiredError(
                 f"lease {write.lease_id} of key {write.key} does not exist"
@@ -157,15 +170,15 @@
     async def grant_lease(self, ttl_s: float) -> Lease:
         """Grant a lease."""
         request = {"ttl_ms": round(ttl_s * 1000)}
-        _, body = await self._mutate("POST", "/kv-lease", request)
-        return Lease(int(body["lease"]), float(body["ttl_ms"]) / 1000)
+        _, body, era = await self._mutate("POST", "/kv-lease", request)
+        return Lease(int(body["lease"]), float(body["ttl_ms"]) / 1000, era)
 
     async def renew_lease(self, lease_id: int) -> Lease:
         """Renew a lease; raise `LeaseExpiredError` if it no longer exists."""
-        status, body = await self._mutate("POST", f"/kv-keep/{lease_id}", None)
+        status, body, era = await self._mutate("POST", f"/kv-keep/{lease_id}", None)
         if status == _NOT_FOUND:
             raise LeaseExpiredError(f"lease {lease_id} does not exist")
-        return Lease(lease_id, float(body["ttl_ms"]) / 1000)
+        return Lease(lease_id, float(body["ttl_ms"]) / 1000, era)
 
     async def revoke_lease(self, lease_id: int) -> None:
         """Revoke a lease, which deletes the keys attached to it."""
@@ -185,7 +198,7 @@
                 "wait_ms": str(round(poll_timeout_s * 1000)),
             }
             timeout_s = poll_timeout_s + self._settings.poll_timeout_margin_s
-            status, body = await self._read("/kv-watch", query, timeout_s)
+            status, body, era = await self._read("/kv-watch", query, timeout_s)
             if status == _GONE:
                 raise WatchCompactedError(f"no history after revision {after_revision}")
             after_revision = _parse_revision(body, after_revision)
@@ -193,7 +206,7 @@
                 _parse_event(entry) for entry in _parse_objects(body, "events")
             )
             had_changes = bool(events)
-            yield WatchBatch(after_revision, events)
+            yield WatchBatch(after_revision, events, era)
 
     async def close(self) -> None:
         """Close all connections to the store."""
@@ -202,29 +215,27 @@
 
     async def _read(
         self, path: str, query: Mapping[str, str], timeout_s: float | None = None
-    ) -> tuple[int, Mapping[str, Any]]:
+    ) -> "_StoreReply":
         try:
-            status, body = await self._call("GET", path, query, None, timeout_s)
+            reply = await self._call("GET", path, query, None, timeout_s)
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
             raise StoreUnavailableError(f"{path}: {_describe(error)}") from error
-        if status in (_OK, _NOT_FOUND, _GONE):
-            return status, body
-        raise StoreUnavailableError(f"{path}: status {status}")
+        if reply.status in (_OK, _NOT_FOUND, _GONE):
+            return reply
+        raise StoreUnavailableError(f"{path}: status {reply.status}")
 
-    async def _mutate(
-        self, method: str, path: str, request: object
-    ) -> tuple[int, Mapping[str, Any]]:
+    async def _mutate(self, method: str, path: str, request: object) -> "_StoreReply":
         try:
-            status, body = await self._call(method, path, {}, request, None)
+            reply = await self._call(method, path, {}, request, None)
         except aiohttp.ClientConnectorError as error:
             raise StoreUnavailableError(f"{path}: {_describe(error)}") from error
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
             raise WriteOutcomeUnknownError(f"{path}: {_describe(error)}") from error
-        if status in _REFUSED_STATUSES:
-            raise StoreUnavailableError(f"{path}: status {status}")
-        if status in (_OK, _NOT_FOUND, _CONDITION_FAILED):
-            return status, body
-        raise StoreError(f"{path}: status {status}")
+        if reply.status in _REFUSED_STATUSES:
+            raise StoreUnavailableError(f"{path}: status {reply.status}")
+        if reply.status in (_OK, _NOT_FOUND, _CONDITION_FAILED):
+            return reply
+        raise StoreError(f"{path}: status {reply.status}")
 
     async def _call(
         self,
@@ -233,7 +244,7 @@
         query: Mapping[str, str],
         request: object,
         timeout_s: float | None,
-    ) -> tuple[int, Mapping[str, Any]]:
+    ) -> "_StoreReply":
         total_s = timeout_s or self._settings.call_timeout_s
         async with self._get_session().request(
             method,
@@ -244,7 +255,11 @@
                 total=total_s, sock_connect=self._settings.connect_timeout_s
             ),
         ) as response:
-            return response.status, _parse_object(await response.read())
+            return _StoreReply(
+                response.status,
+                _parse_object(await response.read()),
+                _parse_era(response.headers.get(names.STORE_ERA)),
+            )
 
     def _get_session(self) -> aiohttp.ClientSession:
         if self._session is None:
@@ -273,6 +288,13 @@
     return objects if isinstance(objects, list) else []
 
 
+def _parse_era(text: str | None) -> int:
+    """Return the era of a reply; 0 for a store that has no eras."""
+    if text is None:
+        return 0
+    return int(text)
+
+
 def _parse_revision(body: Mapping[str, Any], default: int) -> int:
     return int(body.get("current_rev", default))
 
--- a/src/boragespring/platform/store_feeds.py
+++ b/src/boragespring/platform/store_feeds.py
@@ -18,12 +18,12 @@
 
 
 class StoreContactLog:
-    """Log when the store stops responding and when it responds again.
+    """Log when the store stops responding, responds again or lost changes.
 
     Parameters
     ----------
     log : DecisionLog
-        Log for both events.
+        Log for these events.
     """
 
     def __init__(self, log: DecisionLog) -> None:
@@ -37,6 +37,10 @@
         """Log that the store responds again."""
         self._log.lifecycle("store_regained", away_s=round(away_s, 3))
 
+    def on_restored(self, era_before: int, era: int) -> None:
+        """Log that the store returned without changes that it had acknowledged."""
+        self._log.state_change("store_restored", era_before=era_before, era=era)
+
 
 class CatalogFeed:
     """Apply the operator's configuration to the catalog.
--- a/src/boragespring/store/follower.py
+++ b/src/boragespring/store/follower.py
@@ -10,10 +10,13 @@
 from attrs import frozen
 
 from boragespring.event_loop import sleep_until_tick
+from boragespring.store.position import StorePosition
 from boragespring.store.store import (
     KeyValue,
     KeyValueStore,
     StoreError,
+    StoreRestoredError,
+    StoreUnavailableError,
     WatchBatch,
     WatchCompactedError,
     WatchEvent,
@@ -49,9 +52,9 @@
     standby_poll_interval_s: float = 0.2
 
 
-#: Called with each batch from the local watch, preceded by the revision that the batch
+#: Called with each batch from the local watch, preceded by the position that the batch
 #: follows.
-BatchHook = Callable[[int, WatchBatch], None]
+BatchHook = Callable[[StorePosition, WatchBatch], None]
 
 
 class PrefixListener(Protocol):
@@ -65,8 +68,8 @@
         items : sequence of KeyValue
             All keys under the prefix.
         is_after_outage : bool
-            Whether the store was unreachable before, so that keys may be missing only
-            because their leases could not be renewed.
+            Whether the store was unreachable before or has begun a new era, so that
+            keys may be missing only until their owners write them again.
         """
         ...
 
@@ -90,6 +93,10 @@
         """Handle the return of the store after an outage of ``away_s`` seconds."""
         ...
 
+    def on_restored(self, era_before: int, era: int) -> None:
+        """Handle that the store lost acknowledged changes and began a new era."""
+        ...
+
 
 class PrefixFollower:
     """Read the keys under a prefix, then watch them for changes.
@@ -137,12 +144,14 @@
         self._settings = settings or PrefixFollowerSettings()
         self._clock = clock
         self._items: dict[str, KeyValue] = {}
-        #: Revision at which all items were last replaced by a complete snapshot.
-        self._snapshot_revision = 0
-        self._content_revision = 0
-        self._next_revision = 0
-        #: Newest revision that the items reflect, including later batches of changes.
-        self._revision = 0
+        #: Position at which all items were last replaced by a complete snapshot.
+        self._snapshot_position = StorePosition()
+        self._content_position = StorePosition()
+        #: Position of the first change that the items do not reflect; None while all
+        #: keys have to be read.
+        self._next_position: StorePosition | None = None
+        #: Newest position that the items reflect, including later batches of changes.
+        self._position = StorePosition()
         self._complete_at_s = float("-inf")
         self._last_reply_at_s = float("-inf")
         self._lost_at_s: float | None = None
@@ -152,17 +161,17 @@
         self.batch_hooks: list[BatchHook] = []
 
     @property
-    def revision(self) -> int:
-        """Store revision of the snapshot; 0 before the first one."""
-        return self._revision
+    def position(self) -> StorePosition:
+        """Position of the snapshot; its revision is 0 before the first one."""
+        return self._position
 
     @property
-    def content_revision(self) -> int:
-        """Revision of the last change in the snapshot.
+    def content_position(self) -> StorePosition:
+        """Position of the last change in the snapshot.
 
-        Snapshots with the same content revision have the same content.
+        Snapshots with the same content position have the same content.
         """
-        return self._content_revision
+        return self._content_position
 
     @property
     def is_store_lost(self) -> bool:
@@ -184,35 +193,40 @@
         """All keys in the snapshot."""
         return list(self._items.values())
 
-    def confirm_snapshot(self, content_revision: int, complete_at_s: float) -> None:
+    def confirm_snapshot(
+        self, content_position: StorePosition, complete_at_s: float
+    ) -> None:
         """Record that a peer knew a snapshot with this content to be complete."""
-        if content_revision == self._content_revision:
-            self._record_confirmation(self._revision, complete_at_s)
+        if content_position == self._content_position:
+            self._record_confirmation(self._position, complete_at_s)
 
     def apply_peer_snapshot(
         self,
         items: Sequence[KeyValue],
-        revision: int,
-        content_revision: int,
+        position: StorePosition,
+        content_position: StorePosition,
         complete_at_s: float,
     ) -> None:
         """Replace the snapshot with that of a peer unless the local one is newer."""
-        if revision < self._revision:
+        if position < self._position:
             return
-        self._replace_items(items, revision)
-        self._content_revision = content_revision
-        self._listener.on_snapshot(items, False)
-        if self._next_revision:
-            self._next_revision = max(self._next_revision, revision + 1)
-        self._record_confirmation(revision, complete_at_s)
-
-    def apply_peer_batch(self, after_revision: int, batch: WatchBatch) -> bool:
+        is_restored = self._check_era(position.era)
+        self._replace_items(items, position)
+        self._content_position = content_position
+        self._listener.on_snapshot(items, is_restored)
+        if self._next_position is not None:
+            self._next_position = max(self._next_position, position.next)
+        self._record_confirmation(position, complete_at_s)
+
+    def apply_peer_batch(
+        self, after_position: StorePosition, batch: WatchBatch
+    ) -> bool:
         """Apply a batch of changes from the watch of a peer.
 
         Parameters
         ----------
-        after_revision : int
-            Store revision that the batch follows.
+        after_position : StorePosition
+            Position that the batch follows.
         batch : WatchBatch
             Changes that the peer's watch delivered.
 
@@ -221,23 +235,26 @@
         is_applied : bool
             False if changes between the snapshot and the batch are missing.
         """
-        if not self._next_revision or after_revision >= self._next_revision:
+        if self._next_position is None or after_position >= self._next_position:
             return False
+        if batch.era < self._next_position.era:
+            # The store has lost these changes, or they were made again.
+            return True
         self._apply_new_events(batch)
-        self._record_confirmation(batch.revision, self._clock())
+        self._record_confirmation(batch.position, self._clock())
         return True
 
     async def run(self) -> None:
         """Follow the prefix until cancelled."""
         while True:
             try:
-                if not self._next_revision:
+                if self._next_position is None:
                     await self._read_snapshot()
                 while self.is_on_standby():
                     await sleep_until_tick(self._settings.standby_poll_interval_s)
                 await self._watch()
             except WatchCompactedError:
-                self._next_revision = 0
+                self._next_position = None
             except StoreError as error:
                 self._on_failure(str(error))
                 await asyncio.sleep(self._next_backoff_s())
@@ -246,59 +263,80 @@
         requested_at_s = self._clock()
         result = await self._store.range(self._prefix)
         self._on_reply()
-        self._next_revision = result.revision + 1
+        position = result.position
+        if position.era < self._position.era:
+            raise StoreUnavailableError("the reply is of an earlier era of the store")
+        is_restored = self._check_era(position.era)
+        self._next_position = position.next
         is_after_outage, self._had_outage = self._had_outage, False
-        if result.revision < self._revision:
+        if position < self._position:
             return
-        self._replace_items(result.items, result.revision)
-        self._listener.on_snapshot(result.items, is_after_outage)
-        self._record_confirmation(result.revision, requested_at_s)
+        self._replace_items(result.items, position)
+        self._listener.on_snapshot(result.items, is_after_outage or is_restored)
+        self._record_confirmation(position, requested_at_s)
 
     async def _watch(self) -> None:
-        batches = self._store.watch(self._prefix, self._next_revision)
+        assert self._next_position is not None
+        era = self._next_position.era
+        batches = self._store.watch(self._prefix, self._next_position.revision)
         async with aclosing(batches):
             async for batch in batches:
                 self._on_reply()
-                after_revision = self._next_revision - 1
+                if batch.era != era:
+                    raise StoreRestoredError(f"the store is in era {batch.era}")
+                after_position = self._next_position.previous
                 self._apply_new_events(batch)
-                self._record_confirmation(batch.revision, self._clock())
+                self._record_confirmation(batch.position, self._clock())
                 if batch.events:
                     for hook in self.batch_hooks:
-                        hook(after_revision, batch)
+                        hook(after_position, batch)
                 if self.is_on_standby():
                     return
 
-    def _replace_items(self, items: Sequence[KeyValue], revision: int) -> None:
+    def _check_era(self, era: int) -> bool:
+        """Return whether the store has begun an era since the last snapshot."""
+        era_before = self._position.era
+        if era <= era_before or not self._position.revision:
+            return False
+        self._contact_listener.on_restored(era_before, era)
+        return True
+
+    def _replace_items(
+        self, items: Sequence[KeyValue], position: StorePosition
+    ) -> None:
         self._items = {item.key: item for item in items}
-        self._snapshot_revision = revision
-        newest = max((item.mod_revision for item in items), default=0)
-        self._content_revision = max(self._content_revision, newest)
+        self._snapshot_position = position
+        newest_revision = max((item.mod_revision for item in items), default=0)
+        newest = StorePosition(position.era, newest_revision)
+        self._content_position = max(self._content_position, newest)
 
     def _apply_new_events(self, batch: WatchBatch) -> None:
+        assert self._next_position is not None
         # The local watch and the watches of peers deliver the same changes.
-        new_events = (
-            change for change in batch.events if change.revision >= self._next_revision
-        )
-        for event in new_events:
-            self._apply_event(event)
-        self._next_revision = max(self._next_revision, batch.revision + 1)
+        for event in batch.events:
+            position = StorePosition(batch.era, event.revision)
+            if position >= self._next_position:
+                self._apply_event(event, position)
+        self._next_position = max(self._next_position, batch.position.next)
 
-    def _apply_event(self, event: WatchEvent) -> None:
+    def _apply_event(self, event: WatchEvent, position: StorePosition) -> None:
         # A snapshot that was read in several pages or came from a peer may already
         # contain a change that the watch delivers later.
         stored = self._items.get(event.key)
-        stored_revision = stored.mod_revision if stored else 0
-        if event.revision <= max(stored_revision, self._snapshot_revision):
+        stored_position = StorePosition(
+            self._snapshot_position.era, stored.mod_revision if stored else 0
+        )
+        if position <= max(stored_position, self._snapshot_position):
             return
-        self._content_revision = max(self._content_revision, event.revision)
+        self._content_position = max(self._content_position, position)
         if event.item is None:
             self._items.pop(event.key, None)
         else:
             self._items[event.key] = event.item
         self._listener.on_change(event)
 
-    def _record_confirmation(self, revision: int, at_s: float) -> None:
-        self._revision = max(self._revision, revision)
+    def _record_confirmation(self, position: StorePosition, at_s: float) -> None:
+        self._position = max(self._position, position)
         if at_s > self._complete_at_s:
             self._complete_at_s = at_s
             self._listener.on_confirmed(at_s)
--- a/src/boragespring/store/keyspace.py
+++ b/src/boragespring/store/keyspace.py
@@ -31,6 +31,7 @@
 class _LeaseState:
     ttl_s: float
     deadline_s: float
+    granted_at_revision: int
 
 
 @frozen
@@ -52,7 +53,8 @@
     revision : int
         Store revision of the last change.
     generation : int
-        Number of restores; watches opened before the last restore are interrupted.
+        Number of restores, which is the era of all positions; watches opened before
+        the last restore are interrupted.
     """
 
     def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
@@ -80,7 +82,7 @@
         keys = self._items.irange(start, end or None, inclusive=(True, False))
         selected = itertools.islice(keys, limit or None)
         items = tuple(self._items[name] for name in selected)
-        return RangeResult(items=items, revision=self.revision)
+        return RangeResult(items=items, revision=self.revision, era=self.generation)
 
     def apply(self, writes: Sequence[ConditionalWrite]) -> tuple[WriteResult, ...]:
         """Apply the writes whose expected revisions match, as one store revision.
@@ -110,7 +112,8 @@
         """Create a lease and return its ID."""
         self.expire_leases()
         lease_id = next(self._lease_ids)
-        self._leases[lease_id] = _LeaseState(ttl_s, self._clock() + ttl_s)
+        deadline_s = self._clock() + ttl_s
+        self._leases[lease_id] = _LeaseState(ttl_s, deadline_s, self.revision)
         self.wake()
         return lease_id
 
@@ -146,8 +149,17 @@
         )
 
     def restore(self, revision: int) -> None:
-        """Return to an older revision, as a failover to a stale replica does."""
+        """Return to an older revision, as a failover to a stale replica does.
+
+        Leases that were granted since then are lost, and their IDs are given out again.
+        """
         self._items = self._items_at(revision)
+        self._leases = {
+            lease_id: lease
+            for lease_id, lease in self._leases.items()
+            if lease.granted_at_revision < revision
+        }
+        self._lease_ids = itertools.count(max(self._leases, default=0) + 1)
         self._history = [event for event in self._history if event.revision <= revision]
         self.revision = revision
         self.generation += 1
@@ -171,7 +183,7 @@
             in_range, key=lambda event: event.revision
         )
         return [
-            WatchBatch(revision, tuple(events))
+            WatchBatch(revision, tuple(events), self.generation)
             for revision, events in events_by_revision
         ]
 
--- a/src/boragespring/store/memory_store.py
+++ b/src/boragespring/store/memory_store.py
@@ -132,7 +132,7 @@
             for batch in batches:
                 yield batch
             if not batches:
-                yield WatchBatch(revision=keyspace.revision, events=())
+                yield WatchBatch(keyspace.revision, (), generation)
             if next_revision > keyspace.revision:
                 await keyspace.wait_for_change(self._progress_interval_s)
 
--- a/src/boragespring/store/store.py
+++ b/src/boragespring/store/store.py
@@ -6,6 +6,7 @@
 from attrs import frozen
 
 from boragespring.errors import BoragespringError
+from boragespring.store.position import StorePosition
 
 __all__ = [
     "ABSENT_REVISION",
@@ -17,6 +18,7 @@
     "LeaseExpiredError",
     "RangeResult",
     "StoreError",
+    "StoreRestoredError",
     "StoreSteppedBackError",
     "StoreUnavailableError",
     "WatchBatch",
@@ -60,6 +62,10 @@
     """
 
 
+class StoreRestoredError(WatchCompactedError):
+    """The service has begun a new era, so the caller has to read its keys again."""
+
+
 @frozen
 class KeyValue:
     """Stored key with its value and revisions.
@@ -93,10 +99,16 @@
 
 @frozen
 class RangeResult:
-    """Keys under a prefix in lexical order, read at one store revision."""
+    """Keys under a prefix in lexical order, read at one store revision and era."""
 
     items: tuple[KeyValue, ...]
     revision: int
+    era: int = 0
+
+    @property
+    def position(self) -> StorePosition:
+        """Position at which the keys were read."""
+        return StorePosition(self.era, self.revision)
 
 
 @frozen
@@ -143,10 +155,15 @@
 
 @frozen
 class Lease:
-    """Lease that expires ``ttl_s`` seconds after it was created or last renewed."""
+    """Lease that expires ``ttl_s`` seconds after it was created or last renewed.
+
+    ``era`` is the era of the store at that time. A lease of an earlier era may be lost,
+    and its ID may belong to another lease now.
+    """
 
     lease_id: int
     ttl_s: float
+    era: int = 0
 
 
 @frozen
@@ -168,6 +185,12 @@
 
     revision: int
     events: tuple[WatchEvent, ...]
+    era: int = 0
+
+    @property
+    def position(self) -> StorePosition:
+        """Position up to which the watch has delivered all changes."""
+        return StorePosition(self.era, self.revision)
 
 
 class KeyValueStore(Protocol):
@@ -223,6 +246,8 @@
             The history from that revision on is no longer available.
         StoreSteppedBackError
             The service has not reached the revision before that one.
+        StoreRestoredError
+            The service has begun a new era since the watch was opened.
         StoreUnavailableError
             The watch was interrupted or delivered nothing for too long.
         """
--- a/src/boragespring/store/tests/test_follower.py
+++ b/src/boragespring/store/tests/test_follower.py
@@ -12,7 +12,8 @@
 from boragespring.store.follower import PrefixFollower, PrefixFollowerSettings
 from boragespring.store.keyspace import Keyspace
 from boragespring.store.memory_store import MemoryStore
-from boragespring.store.store import ConditionalWrite, KeyValue
+from boragespring.store.position import StorePosition
+from boragespring.store.store import ConditionalWrite, KeyValue, WatchBatch, WatchEvent
 
 
 class RecordingListener:
@@ -41,6 +42,9 @@
     def on_regained(self, away_s):
         self.contact_changes.append("")
 
+    def on_restored(self, era_before, era):
+        self.contact_changes.append((era_before, era))
+
 
 def put(keyspace, key, value):
     stored = keyspace.get(key).item
@@ -48,6 +52,10 @@
     return keyspace.apply([ConditionalWrite(key, value, expected)])[0].revision
 
 
+def at(revision, era=0):
+    return StorePosition(era, revision)
+
+
 @contextlib.asynccontextmanager
 async def running_follower(keyspace, prefix="", listener=None):
     store = MemoryStore(keyspace, progress_interval_s=0.05)
@@ -55,7 +63,7 @@
     settings = PrefixFollowerSettings(0.01, 0.02)
     follower = PrefixFollower(store, prefix, listener, listener, settings)
     task = asyncio.create_task(follower.run())
-    await wait_until(lambda: follower.revision)
+    await wait_until(lambda: follower.position.revision)
     yield store, follower, listener
     task.cancel()
 
@@ -96,11 +104,12 @@
     keyspace = Keyspace()
     put(keyspace, "a/1", b"x")
     async with running_follower(keyspace) as (_, follower, listener):
-        follower.apply_peer_snapshot([KeyValue("a/9", b"z", 1, 90)], 95, 90, 5.0)
+        newer, older = [KeyValue("a/9", b"z", 1, 90)], [KeyValue("a/1", b"x", 1, 2)]
+        follower.apply_peer_snapshot(newer, at(95), at(90), 5.0)
         assert listener.values == {"a/9": b"z"}
-        follower.apply_peer_snapshot([KeyValue("a/1", b"x", 1, 2)], 3, 2, 6.0)
+        follower.apply_peer_snapshot(older, at(3), at(2), 6.0)
         assert listener.values == {"a/9": b"z"}
-        assert follower.revision == 95
+        assert follower.position == at(95)
 
 
 async def test_events_older_than_a_snapshot_do_not_restore_deleted_keys():
@@ -108,7 +117,7 @@
     async with running_follower(keyspace) as (_, follower, listener):
         revision = put(keyspace, "a/1", b"x")
         # The snapshot is of a later revision, at which the key was deleted.
-        follower.apply_peer_snapshot([], revision + 1, revision + 1, 5.0)
+        follower.apply_peer_snapshot([], at(revision + 1), at(revision + 1), 5.0)
         await asyncio.sleep(0.1)
         assert listener.values == {}
 
@@ -138,9 +147,9 @@
         is_forwarding = True
         applied_batches = []
 
-        def forward(after_revision, batch):
+        def forward(after_position, batch):
             if is_forwarding:
-                applied_batches.append(standby.apply_peer_batch(after_revision, batch))
+                applied_batches.append(standby.apply_peer_batch(after_position, batch))
 
         watcher.batch_hooks.append(forward)
         standby.is_on_standby = lambda: True
@@ -155,10 +164,74 @@
         is_forwarding = False
         put(keyspace, "c", b"1")
         revision = put(keyspace, "d", b"1")
-        await wait_until(lambda: watcher.revision >= revision)
+        await wait_until(lambda: watcher.position >= at(revision))
         is_forwarding = True
         put(keyspace, "e", b"1")
         await wait_until(lambda: applied_batches[-1] is False)
         assert "e" not in listener.values
         standby.is_on_standby = lambda: False
         await wait_until(lambda: listener.values == dict.fromkeys("bcde", b"1"))
+
+
+async def test_a_store_without_its_last_changes_replaces_the_snapshot():
+    keyspace = Keyspace()
+    copied_at = put(keyspace, "a/1", b"old")
+    async with running_follower(keyspace) as (_, follower, listener):
+        put(keyspace, "a/1", b"lost")
+        put(keyspace, "a/2", b"lost")
+        await wait_until(lambda: len(listener.values) == 2)
+        # The revisions of the lost changes are given out again at once.
+        keyspace.restore(copied_at)
+        put(keyspace, "a/3", b"new")
+        put(keyspace, "a/1", b"newer")
+        expected = {"a/1": b"newer", "a/3": b"new"}
+        await wait_until(lambda: listener.values == expected)
+        assert (0, 1) in listener.contact_changes
+        assert listener.outage_flags[-1] is True
+        put(keyspace, "a/1", b"newest")
+        await wait_until(lambda: listener.values["a/1"] == b"newest")
+        assert follower.position.era == 1
+
+
+async def test_a_second_loss_before_the_first_was_noticed_is_noticed():
+    keyspace = Keyspace()
+    copied_at = put(keyspace, "a/1", b"old")
+    async with running_follower(keyspace) as (store, follower, listener):
+        store.faults.down = True
+        put(keyspace, "a/2", b"lost")
+        keyspace.restore(copied_at)
+        put(keyspace, "a/3", b"lost too")
+        keyspace.restore(copied_at)
+        put(keyspace, "a/4", b"new")
+        keyspace.compact(keyspace.revision)
+        store.faults.down = False
+        await wait_until(lambda: listener.values == {"a/1": b"old", "a/4": b"new"})
+        assert follower.position.era == 2
+
+
+async def test_changes_of_an_earlier_era_that_arrive_late_are_ignored():
+    keyspace = Keyspace()
+    copied_at = put(keyspace, "a/1", b"old")
+    async with running_follower(keyspace) as (_, follower, listener):
+        keyspace.restore(copied_at)
+        put(keyspace, "a/1", b"new")
+        await wait_until(lambda: listener.values == {"a/1": b"new"})
+        late = KeyValue("a/1", b"lost", 1, 40)
+        batch = WatchBatch(40, (WatchEvent("a/1", late, 40),), era=0)
+        assert follower.apply_peer_batch(at(copied_at), batch)
+        follower.apply_peer_snapshot([late], at(41), at(40), 5.0)
+        assert listener.values == {"a/1": b"new"}
+        # A peer that has not noticed the loss does not confirm the local snapshot.
+        before = listener.confirmations
+        follower.confirm_snapshot(at(follower.content_position.revision), 1e12)
+        assert listener.confirmations == before
+
+
+async def test_a_snapshot_of_a_later_era_is_taken_from_a_peer():
+    keyspace = Keyspace()
+    put(keyspace, "a/1", b"x")
+    async with running_follower(keyspace) as (_, follower, listener):
+        restored = [KeyValue("a/2", b"y", 1, 1)]
+        follower.apply_peer_snapshot(restored, at(1, era=1), at(1, era=1), 5.0)
+        assert listener.values == {"a/2": b"y"}
+        assert listener.outage_flags[-1] is True
