Believe a server that states in a reply that it leaves

Change: the adapter hands on what each reply states (buffered, streamed at the head, refusals, reports, copies), but for 421, which another server at the address gives. ServerStatements marks the server as leaving and tells the other gateways; notices carry the start time of the server's process, so that they hold for that process alone. No entry of that process takes it back. Its runs are moved as those of any server that leaves.

Tests of platform/, gateway_peers/, fleet/, forwarding/ pass.

--- a/src/boragespring/composition/gateway.py
+++ b/src/boragespring/composition/gateway.py
@@ -28,6 +28,7 @@
     RequestValidatorSettings,
     RetryBudget,
     RetryBudgetSettings,
+    ServerStatements,
     StreamForwarder,
     StreamSettings,
 )
@@ -108,7 +109,9 @@
         notify_unreachable=evacuations.notify_unreachable,
         log=log,
     )
-    evacuations.leaving_hooks.append(prober.on_server_leaving)
+    statements = ServerStatements(fleet, evacuations.notify_leaving, log)
+    calls.statement_hooks.append(statements.apply)
+    evacuations.leaving_hooks.append(statements.on_notice)
     evacuations.unreachable_hooks.append(prober.on_server_unreachable)
 
     def caller_limits() -> CallerLimits:
--- a/src/boragespring/fleet/model.py
+++ b/src/boragespring/fleet/model.py
@@ -6,6 +6,7 @@
 
 __all__ = [
     "BackendServer",
+    "LeavingNotice",
     "PeerLoad",
     "Registration",
     "RunLoad",
@@ -131,6 +132,34 @@
         return self.prompt_tokens + max(self.output_tokens, self.produced_tokens)
 
 
+@frozen
+class LeavingNotice:
+    """Notice between gateways that a backend server leaves.
+
+    Parameters
+    ----------
+    server_id : str
+        Identifier of the server.
+    started_at_ms : int
+        Start time by the server's clock, which tells its processes apart.
+    is_final : bool
+        Whether the server stated it in a reply, so that no entry takes it back.
+    """
+
+    server_id: str
+    started_at_ms: int
+    is_final: bool
+
+    @classmethod
+    def of(cls, server: "BackendServer") -> "LeavingNotice":
+        """Return the notice for a server."""
+        return cls(
+            server.server_id,
+            server.registration.started_at_ms,
+            server.has_stated_leaving,
+        )
+
+
 @frozen
 class PeerLoad:
     """Load that another gateway reported for one backend server.
@@ -185,6 +214,9 @@
         leaving or no longer registered; None while it accepts new requests.
     is_registered : bool
         Whether the store still holds an entry of the server.
+    has_stated_leaving : bool
+        Whether the server itself stated in a reply that it leaves. No entry in the
+        store takes that back, as entries are older.
     report : ServerReport or None
         Latest load report that this gateway fetched.
     runs : dict of str to RunLoad
@@ -203,6 +235,7 @@
     joined_at_s: float
     left_at_s: float | None = None
     is_registered: bool = True
+    has_stated_leaving: bool = False
     report: ServerReport | None = None
     runs: dict[str, RunLoad] = field(factory=dict)
     peer_loads: dict[str, PeerLoad] = field(factory=dict)
--- a/src/boragespring/fleet/state.py
+++ b/src/boragespring/fleet/state.py
@@ -111,13 +111,26 @@
         server.is_registered = True
         if registration.is_leaving:
             self._leave(server, "told")
-        elif server.left_at_s is not None:
+        elif server.is_leaving and not server.has_stated_leaving:
             server.left_at_s = None
             self._candidates.clear()
             self._log_change("server_back", server)
 
-    def mark_leaving(self, server: BackendServer, reason: str) -> None:
-        """Mark a server as leaving before its registration says so."""
+    def mark_leaving(
+        self, server: BackendServer, reason: str, is_final: bool = False
+    ) -> None:
+        """Mark a server as leaving before its registration says so.
+
+        Parameters
+        ----------
+        server : BackendServer
+            Server that leaves.
+        reason : str
+            Source of the information, for the log.
+        is_final : bool, default=False
+            Whether the server itself stated it in a reply.
+        """
+        server.has_stated_leaving |= is_final
         self._leave(server, reason)
 
     def unregister(self, server_id: str, reason: str) -> None:
--- a/src/boragespring/forwarding/__init__.py
+++ b/src/boragespring/forwarding/__init__.py
@@ -30,6 +30,7 @@
 from boragespring.forwarding.move_scheduler import MoveScheduler
 from boragespring.forwarding.placement import PlacementSettings
 from boragespring.forwarding.retry_budget import RetryBudget, RetryBudgetSettings
+from boragespring.forwarding.server_statements import ServerStatement, ServerStatements
 from boragespring.forwarding.streaming import StreamForwarder, StreamSettings
 
 __all__ = [
@@ -60,6 +61,8 @@
     "RunCopy",
     "RunNotFoundError",
     "ServerReply",
+    "ServerStatement",
+    "ServerStatements",
     "ServerUnreachableError",
     "StreamForwarder",
     "StreamSettings",
--- a/src/boragespring/forwarding/probing.py
+++ b/src/boragespring/forwarding/probing.py
@@ -11,7 +11,7 @@
 from boragespring.decisions import DecisionLog
 from boragespring.event_loop import sleep_until_tick
 from boragespring.fleet import BackendServer, Fleet
-from boragespring.fleet.model import ServerReport
+from boragespring.fleet.model import LeavingNotice, ServerReport
 from boragespring.forwarding.errors import ForwardingError, ServerUnreachableError
 
 __all__ = ["ProbeSettings", "ReportFetcher", "ServerProber", "is_prober"]
@@ -105,7 +105,7 @@
         snapshot_age_limit_s: Callable[[], float],
         snapshot_age_s: Callable[[], float],
         serves_reports: Callable[[str], bool],
-        notify_leaving: Callable[[str], None],
+        notify_leaving: Callable[[LeavingNotice], None],
         notify_unreachable: Callable[[str], None],
         log: DecisionLog,
     ) -> None:
@@ -136,12 +136,6 @@
                     *map(self._probe_assigned, self._assigned_servers())
                 )
 
-    def on_server_leaving(self, server_id: str) -> None:
-        """Mark a server as leaving that another gateway found to be leaving."""
-        server = self._fleet.find(server_id)
-        if server is not None:
-            self._fleet.mark_leaving(server, "told by another gateway")
-
     def on_server_unreachable(self, server_id: str) -> None:
         """Probe a server that another gateway could not reach.
 
@@ -193,5 +187,5 @@
         server.report = report
         if report.is_leaving:
             self._fleet.mark_leaving(server, "its report")
-            self._notify_leaving(server.server_id)
+            self._notify_leaving(LeavingNotice.of(server))
         return True
--- /dev/null
+++ b/src/boragespring/forwarding/server_statements.py
@@ -0,0 +1,70 @@
+"""Apply what backend servers state about themselves with their replies."""
+
+from collections.abc import Callable
+
+from attrs import frozen
+
+from boragespring.decisions import DecisionLog
+from boragespring.fleet import BackendServer, Fleet
+from boragespring.fleet.model import LeavingNotice
+
+__all__ = ["ServerStatement", "ServerStatements"]
+
+
+@frozen
+class ServerStatement:
+    """Statement of a backend server about itself in the head of a reply.
+
+    Parameters
+    ----------
+    is_leaving : bool
+        Whether the server leaves and accepts no new requests.
+    """
+
+    is_leaving: bool = False
+
+
+class ServerStatements:
+    """Apply the statements in all replies to the fleet.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        Known backend servers.
+    notify_leaving : callable
+        Notifies other gateways that a server is leaving.
+    log : DecisionLog
+        Log of notices from other gateways that do not apply.
+    """
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        notify_leaving: Callable[[LeavingNotice], None],
+        log: DecisionLog,
+    ) -> None:
+        self._fleet = fleet
+        self._notify_leaving = notify_leaving
+        self._log = log
+
+    def apply(self, server: BackendServer, statement: ServerStatement) -> None:
+        """Apply a statement that a server made in a reply to this gateway."""
+        if statement.is_leaving and not server.has_stated_leaving:
+            self._fleet.mark_leaving(server, "its reply", is_final=True)
+            self._notify_leaving(LeavingNotice.of(server))
+
+    def on_notice(self, notice: LeavingNotice) -> None:
+        """Apply the statement that a server made to another gateway."""
+        server = self._fleet.find(notice.server_id)
+        if server is None:
+            return
+        if notice.started_at_ms != server.registration.started_at_ms:
+            self._log.state_change(
+                "leaving_notice_ignored",
+                server=notice.server_id,
+                reason="of another process of the server",
+            )
+            return
+        self._fleet.mark_leaving(
+            server, "told by another gateway", is_final=notice.is_final
+        )
--- a/src/boragespring/gateway_peers/evacuations.py
+++ b/src/boragespring/gateway_peers/evacuations.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Iterable
 
+from boragespring.fleet.model import LeavingNotice
 from boragespring.forwarding.evacuation import LeavingRun
 from boragespring.gateway_peers.messages import (
     LeavingRunEnded,
@@ -17,7 +18,9 @@
 AnnounceHook = Callable[[str, list[LeavingRun]], None]
 #: Called with the server and the run that a peer no longer has to move.
 EndHook = Callable[[str, str], None]
-#: Called with the server that a peer reported as leaving or unreachable.
+#: Called with the notice of a peer that a server leaves.
+LeavingHook = Callable[[LeavingNotice], None]
+#: Called with the server that a peer reported as unreachable.
 ServerHook = Callable[[str], None]
 
 
@@ -42,7 +45,7 @@
         self._has_load = has_load
         self.announce_hooks: list[AnnounceHook] = []
         self.end_hooks: list[EndHook] = []
-        self.leaving_hooks: list[ServerHook] = []
+        self.leaving_hooks: list[LeavingHook] = []
         self.unreachable_hooks: list[ServerHook] = []
         network.on_broadcast(ServerLeaving, self._handle_leaving)
         network.on_broadcast(ServerUnreachable, self._handle_unreachable)
@@ -67,9 +70,11 @@
         """Report that a run was moved, has ended, or cannot be moved."""
         self._network.broadcast(LeavingRunEnded(server_id, run_id), self._needs)
 
-    def notify_leaving(self, server_id: str) -> None:
+    def notify_leaving(self, notice: LeavingNotice) -> None:
         """Report a leaving server, which the store may not show yet."""
-        self._network.broadcast(ServerLeaving(server_id))
+        self._network.broadcast(
+            ServerLeaving(notice.server_id, notice.started_at_ms, notice.is_final)
+        )
 
     def notify_unreachable(self, server_id: str) -> None:
         """Report an unreachable server, so that the peers probe it themselves."""
@@ -97,8 +102,11 @@
             hook(message.server_id, message.run_id)
 
     def _handle_leaving(self, message: ServerLeaving) -> None:
+        notice = LeavingNotice(
+            message.server_id, message.started_at_ms, message.is_final
+        )
         for hook in self.leaving_hooks:
-            hook(message.server_id)
+            hook(notice)
 
     def _handle_unreachable(self, message: ServerUnreachable) -> None:
         for hook in self.unreachable_hooks:
--- a/src/boragespring/gateway_peers/messages.py
+++ b/src/boragespring/gateway_peers/messages.py
@@ -106,9 +106,21 @@
 
 @message(146)
 class ServerLeaving:
-    """A server has reported to the sender that it is leaving."""
+    """A server has stated to the sender that it is leaving.
+
+    Parameters
+    ----------
+    server_id : str
+        Identifier of the server.
+    started_at_ms : int
+        Start time by the server's clock, which tells its processes apart.
+    is_final : bool
+        Whether the server stated it in a reply, so that no entry takes it back.
+    """
 
     server_id: str
+    started_at_ms: int
+    is_final: bool
 
 
 @message(147)
--- a/src/boragespring/gateway_peers/tests/peer_fleet.py
+++ b/src/boragespring/gateway_peers/tests/peer_fleet.py
@@ -157,8 +157,8 @@
             self.loads.expire_outdated()
             self.network.refresh()
 
-    def _count_leaving(self, server_id):
-        self.ended[server_id] += 1
+    def _count_leaving(self, notice):
+        self.ended[notice.server_id] += 1
 
     def place(self, server_id, run_id, tokens=100):
         server = self.fleet.find(server_id)
--- a/src/boragespring/gateway_peers/tests/test_network.py
+++ b/src/boragespring/gateway_peers/tests/test_network.py
@@ -6,6 +6,7 @@
 import pytest
 
 from boragespring.bench.virtual_time import run_in_virtual_time
+from boragespring.fleet.model import LeavingNotice
 from boragespring.gateway_peers import LoadSharingSettings, PeerNetworkSettings
 from boragespring.gateway_peers.tests.peer_fleet import (
     REFRESH_S,
@@ -170,7 +171,9 @@
         fleet = PeerFleet(100, ZONES, SERVERS)
         await asyncio.sleep(1.0)
         for sender in ("gateway-000", "gateway-099", "gateway-050"):
-            fleet.gateways[sender].evacuations.notify_leaving(sender)
+            fleet.gateways[sender].evacuations.notify_leaving(
+                LeavingNotice(sender, 0, is_final=True)
+            )
             await asyncio.sleep(SPREAD_S)
             counts = {n: g.ended[sender] for n, g in fleet.gateways.items()}
             assert counts.pop(sender) == 0
--- a/src/boragespring/platform/emulator/deployment.py
+++ b/src/boragespring/platform/emulator/deployment.py
@@ -189,6 +189,7 @@
         slots: int,
         zone: str = "zone-a",
         state: str = "ready",
+        born: int = 1,
     ) -> None:
         """Write the registration of a server to the store.
 
@@ -206,6 +207,8 @@
             Its availability zone.
         state : str
             Its state in the platform's spelling, such as ``"draining"``.
+        born : int
+            Time of its start in milliseconds.
         """
         entry = {
             "service": service,
@@ -216,7 +219,7 @@
             "state": state,
             "cold_remaining_ms": 0,
             "sequence": next(self._sequences),
-            "born": 1,
+            "born": born,
         }
         key = names.REGISTRATION_PREFIX + name
         self.store.put(key, json.dumps(entry).encode())
--- a/src/boragespring/platform/emulator/engine.py
+++ b/src/boragespring/platform/emulator/engine.py
@@ -113,6 +113,8 @@
         their connection is closed.
     preemptions : int
         Number of preemptions so far.
+    states_leaving : bool
+        Whether the server states in all its replies that it leaves.
     leaves_at_s : float or None
         Monotonic time at which the server will stop; None if it is not leaving.
     port : int
@@ -131,6 +133,7 @@
     closes_before_event: int = 0
     sends_unframed: bool = False
     preemptions: int = 0
+    states_leaving: bool = False
     leaves_at_s: float | None = None
     port: int = 0
     _copy_numbers: "itertools.count[int]" = field(factory=lambda: itertools.count(1))
@@ -156,6 +159,7 @@
     async def start(self) -> None:
         """Start listening; `port` holds the port in use."""
         app = web.Application()
+        app.on_response_prepare.append(self._add_leaving_header)
         app.router.add_get("/report", self._handle_report)
         app.router.add_post("/kv-move", self._handle_move)
         app.router.add_delete("/kv-handle/{copy}", self._handle_copy_delete)
@@ -180,6 +184,12 @@
 
     stop = crash
 
+    async def _add_leaving_header(
+        self, _: web.Request, response: web.StreamResponse
+    ) -> None:
+        if self.states_leaving:
+            response.headers[names.SERVER_LEAVING] = "1"
+
     async def _handle_report(self, _: web.Request) -> web.Response:
         body = {
             "stage": "both",
--- a/src/boragespring/platform/emulator/service.py
+++ b/src/boragespring/platform/emulator/service.py
@@ -78,6 +78,8 @@
         Fault of every reply while `faults` is empty.
     received : list of ReceivedRequest
         All requests received so far.
+    states_leaving : bool
+        Whether the server states in all its replies that it leaves.
     error_body : bytes
         Body of the replies with the fault `ERROR`.
     runs : list of str
@@ -94,6 +96,7 @@
     faults: deque[ServiceFault] = field(factory=deque)
     default_fault: ServiceFault = ServiceFault.NONE
     received: list[ReceivedRequest] = field(factory=list)
+    states_leaving: bool = False
     error_body: bytes = b""
     runs: list[str] = field(factory=list)
     cancelled: list[str] = field(factory=list)
@@ -137,16 +140,21 @@
         fault = self.faults.popleft() if self.faults else self.default_fault
         request_id = request.headers.get(names.REQUEST_ID.lower(), "")
         if fault is ServiceFault.SHED:
-            writer.write(_encode_reply(503, request_id, b"", {names.NOT_RUN: "1"}))
+            not_run = {names.NOT_RUN: "1", **self._state_headers()}
+            writer.write(_encode_reply(503, request_id, b"", not_run))
             return
         if fault is ServiceFault.OTHER_SERVER:
-            writer.write(_encode_reply(421, request_id, b"", {}))
+            headers = self._state_headers()
+            writer.write(_encode_reply(421, request_id, b"", headers))
             return
         self.runs.append(request_id)
         if not await self._execute(reader, request_id):
             return
         await self._write_reply(fault, request_id, writer)
 
+    def _state_headers(self) -> dict[str, str]:
+        return {names.SERVER_LEAVING: "1"} if self.states_leaving else {}
+
     async def _execute(self, reader: asyncio.StreamReader, request_id: str) -> bool:
         """Wait for the execution time; return False if the gateway disconnects."""
         disconnect = asyncio.create_task(reader.read(1))
@@ -160,7 +168,7 @@
     async def _write_reply(
         self, fault: ServiceFault, request_id: str, writer: asyncio.StreamWriter
     ) -> None:
-        signed = {names.SIGNATURE: SIGNATURE_VALUE}
+        signed = {names.SIGNATURE: SIGNATURE_VALUE, **self._state_headers()}
         complete_reply = _encode_reply(200, request_id, self.body, signed)
         match fault:
             case ServiceFault.ERROR:
--- a/src/boragespring/platform/names.py
+++ b/src/boragespring/platform/names.py
@@ -45,6 +45,8 @@
 #: Number of running requests, of waiting requests and of slots: ``"3,0,8"``.
 SERVER_LOAD: Final = "Boragespring-Server-Load"
 RETRY_AFTER: Final = "Retry-After"
+#: ``"1"`` in all replies of a server that leaves.
+SERVER_LEAVING: Final = "Server-Leaving"
 
 # Header of every reply of the store. Its value rises by one each time that the store
 # returns without changes that it had acknowledged.
--- a/src/boragespring/platform/server_calls.py
+++ b/src/boragespring/platform/server_calls.py
@@ -2,7 +2,7 @@
 
 import json
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import Any
 
 import aiohttp
@@ -21,6 +21,7 @@
     ReplyLostError,
     RunCopy,
     RunNotFoundError,
+    ServerStatement,
     ServerUnreachableError,
 )
 from boragespring.http.reply_end import ReplyEnd, ReplyFraming
@@ -32,9 +33,13 @@
 _OK = 200
 _NOT_FOUND = 404
 _MISDIRECTED = 421
+_IS_LEAVING = "1"
 #: Maximum length of a header line in a reply.
 HEADER_LINE_MAX_BYTES = 32 * 1024
 
+#: Called with a server and what it states about itself.
+StatementHook = Callable[[BackendServer, ServerStatement], None]
+
 
 @frozen
 class ServerCallSettings:
@@ -94,6 +99,8 @@
     def __init__(self, settings: ServerCallSettings) -> None:
         self._settings = settings
         self._session: aiohttp.ClientSession | None = None
+        #: Called with each reply's statement of the server about itself.
+        self.statement_hooks: list[StatementHook] = []
 
     async def send(self, server: BackendServer, attempt: Attempt) -> _HttpReply:
         """Send a request and wait for the status and headers of the reply."""
@@ -114,6 +121,7 @@
             raise ServerUnreachableError(_describe(error)) from error
         except (aiohttp.ClientError, OSError, ValueError) as error:
             raise ReplyLostError(_describe(error)) from error
+        self._pass_on_statement(server, response)
         return _HttpReply(response)
 
     async def copy_run(
@@ -175,12 +183,23 @@
             async with self._get_session().request(
                 method, url, json=body, timeout=timeout
             ) as response:
+                self._pass_on_statement(server, response)
                 return response.status, _parse_object(await response.read())
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise ServerUnreachableError(_describe(error)) from error
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
             raise ReplyLostError(_describe(error)) from error
 
+    def _pass_on_statement(
+        self, server: BackendServer, response: aiohttp.ClientResponse
+    ) -> None:
+        if response.status == _MISDIRECTED:
+            # The statement is that of another server, which has the address now.
+            return
+        statement = _parse_statement(response)
+        for hook in self.statement_hooks:
+            hook(server, statement)
+
     def _get_session(self) -> aiohttp.ClientSession:
         if self._session is None:
             self._session = aiohttp.ClientSession(
@@ -238,6 +257,11 @@
     )
 
 
+def _parse_statement(response: aiohttp.ClientResponse) -> ServerStatement:
+    text = response.headers.get(names.SERVER_LEAVING, "")
+    return ServerStatement(is_leaving=text.strip() == _IS_LEAVING)
+
+
 def _parse_object(data: bytes) -> dict[str, Any]:
     body = json.loads(data) if data else {}
     return body if isinstance(body, dict) else {}
