Pause sending to a server that answers 503 with Retry-After

The gateway did not read the value: placing prefers a server without load, so a server that rejects everything got every next request.

Change: the adapter reads the value of a 503; the fleet keeps it for each server, at most 60 s; placing, moves and probes skip the server. While all servers of a service are paused, requests are refused at once, with the time of the first return and a random part added. No special case where one server of a small service pauses: the others serve.

--- a/src/boragespring/fleet/model.py
+++ b/src/boragespring/fleet/model.py
@@ -229,6 +229,9 @@
         Monotonic time in seconds until which the server is avoided.
     suspicions : int
         Number of suspicions since the last success.
+    paused_until_s : float
+        Monotonic time in seconds until which the server wants no requests of this
+        gateway.
     """
 
     registration: Registration
@@ -242,6 +245,7 @@
     consecutive_failures: int = 0
     suspected_until_s: float = float("-inf")
     suspicions: int = 0
+    paused_until_s: float = float("-inf")
 
     @property
     def server_id(self) -> str:
@@ -297,3 +301,7 @@
     def is_suspected(self, now_s: float) -> bool:
         """Return whether the server is avoided because of recent failures."""
         return self.suspected_until_s > now_s
+
+    def is_paused(self, now_s: float) -> bool:
+        """Return whether the server wants no requests of this gateway."""
+        return self.paused_until_s > now_s
--- a/src/boragespring/fleet/state.py
+++ b/src/boragespring/fleet/state.py
@@ -31,12 +31,15 @@
     lapse_grace_s : float
         Time in seconds within which a server whose entry expired during an outage
         of the store can register again before it is removed.
+    pause_max_s : float
+        Maximum time in seconds for which a server can ask for no requests.
     """
 
     suspicion_failures: int = 2
     suspicion_base_s: float = 1.0
     suspicion_max_s: float = 8.0
     lapse_grace_s: float = 2.0
+    pause_max_s: float = 60.0
 
 
 class Fleet:
@@ -221,6 +224,12 @@
         server.consecutive_failures = 0
         self._log_change("server_suspected", server, reason=reason, for_s=duration_s)
 
+    def pause(self, server: BackendServer, duration_s: float) -> None:
+        """Send nothing to a server for a time in seconds, as it asked for."""
+        for_s = min(duration_s, self._settings.pause_max_s)
+        server.paused_until_s = max(server.paused_until_s, self._clock() + for_s)
+        self._log_change("server_paused", server, for_s=for_s)
+
     def _is_outdated(self, registration: Registration) -> bool:
         server = self._servers.get(registration.server_id)
         if server is None or not server.is_registered:
--- a/src/boragespring/forwarding/buffered.py
+++ b/src/boragespring/forwarding/buffered.py
@@ -1,6 +1,7 @@
 """Forward requests whose reply is buffered until it is complete."""
 
 import asyncio
+import random
 import time
 
 from attrs import define, field, frozen
@@ -107,11 +108,19 @@
         Dependencies shared by all requests.
     settings : BufferedSettings
         Limits on attempts and on the size of replies.
+    rng : random.Random, optional
+        Spreads the retry delays of refused requests.
     """
 
-    def __init__(self, context: ForwardingContext, settings: BufferedSettings) -> None:
+    def __init__(
+        self,
+        context: ForwardingContext,
+        settings: BufferedSettings,
+        rng: random.Random | None = None,
+    ) -> None:
         self._context = context
         self._settings = settings
+        self._rng = rng or random.Random()
 
     async def forward(self, job: Job) -> BufferedReply | Refusal:
         """Return the reply for the caller, or a refusal of the gateway itself."""
@@ -128,11 +137,11 @@
         while True:
             server = self._choose(job, progress)
             if server is None:
-                return self._give_up(progress, RefusalReason.NO_SERVER)
+                return self._give_up(job, progress, RefusalReason.NO_SERVER)
             if progress.sends and not self._context.budget.try_acquire(
                 job.service.name
             ):
-                return self._give_up(progress, RefusalReason.OVERLOADED)
+                return self._give_up(job, progress, RefusalReason.OVERLOADED)
             progress.sends += 1
             outcome = await self._send(job, server, progress)
             if isinstance(outcome, BufferedReply) and outcome.head.status < 500:
@@ -149,7 +158,7 @@
                 outcome=_describe_outcome(outcome),
             )
             if not self._can_retry(job, progress):
-                return self._give_up(progress, RefusalReason.REPLY_LOST)
+                return self._give_up(job, progress, RefusalReason.REPLY_LOST)
 
     def _choose(self, job: Job, progress: _Progress) -> BackendServer | None:
         view = PlacementView(
@@ -235,13 +244,16 @@
         return progress.runs < job.route.attempts_max
 
     def _give_up(
-        self, progress: _Progress, reason: RefusalReason
+        self, job: Job, progress: _Progress, reason: RefusalReason
     ) -> BufferedReply | Refusal:
         if progress.failed_reply is not None:
             return progress.failed_reply
         if progress.runs:
             return Refusal(RefusalReason.REPLY_LOST, was_not_run=False)
-        return Refusal(reason, True, self._settings.retry_after_s)
+        retry_after_s = self._context.retry_after_s(
+            job, self._settings.retry_after_s, self._rng
+        )
+        return Refusal(reason, True, retry_after_s)
 
     def _on_timeout(self, job: Job, progress: _Progress) -> BufferedReply | Refusal:
         if progress.failed_reply is not None:
--- a/src/boragespring/forwarding/context.py
+++ b/src/boragespring/forwarding/context.py
@@ -1,12 +1,16 @@
 """Dependencies shared by the classes that forward requests."""
 
+import random
+import time
 from collections.abc import Callable
 
 from attrs import frozen
 
 from boragespring.decisions import DecisionLog
 from boragespring.fleet import Fleet
+from boragespring.forwarding.jobs import Job
 from boragespring.forwarding.messages import BackendCalls
+from boragespring.forwarding.pauses import first_return_s, spread_return_s
 from boragespring.forwarding.placement import PlacementSettings
 from boragespring.forwarding.retry_budget import RetryBudget
 from boragespring.metrics.gateway import GatewayMetrics
@@ -50,3 +54,27 @@
     placement: PlacementSettings
     metrics: GatewayMetrics
     notify_loads: Callable[[], None] = _notify_nobody
+
+    def retry_after_s(self, job: Job, default_s: float, rng: random.Random) -> float:
+        """Return the retry delay in seconds for a request that no server accepts.
+
+        Parameters
+        ----------
+        job : Job
+            Request that is refused.
+        default_s : float
+            Delay in seconds unless all servers of the service are paused.
+        rng : random.Random
+            Spreads the delays of refused requests.
+        """
+        servers = self.fleet.candidates(job.service.name)
+        wait_s = first_return_s(servers, time.monotonic())
+        if wait_s is None:
+            return default_s
+        self.log.failure(
+            "all_servers_paused",
+            job.request_id,
+            servers=len(servers),
+            first_return_s=round(wait_s, 3),
+        )
+        return max(default_s, spread_return_s(wait_s, rng))
--- a/src/boragespring/forwarding/placement.py
+++ b/src/boragespring/forwarding/placement.py
@@ -94,13 +94,12 @@
     call: ServiceCall | GenerationCall, view: PlacementView, settings: PlacementSettings
 ) -> BackendServer | None:
     """Return the server with the lowest cost, or None if there is no candidate."""
-    eligible = view.servers
-    if view.excluded:
-        eligible = [
-            candidate
-            for candidate in eligible
-            if candidate.server_id not in view.excluded
-        ]
+    eligible = [
+        candidate
+        for candidate in view.servers
+        if candidate.paused_until_s <= view.now_s
+        and candidate.server_id not in view.excluded
+    ]
     if not eligible:
         return None
     if len(eligible) > settings.compare_all_max:
--- a/src/boragespring/forwarding/probing.py
+++ b/src/boragespring/forwarding/probing.py
@@ -158,10 +158,12 @@
         if self._local_name not in names:
             return []
         peer_names = names - {self._local_name}
+        now_s = time.monotonic()
         return [
             server
             for server in self._fleet.servers
             if not server.is_leaving
+            and not server.is_paused(now_s)
             and self._serves_reports(server.registration.service)
             and is_prober(server.server_id, self._local_name, peer_names)
         ]
--- a/src/boragespring/forwarding/server_statements.py
+++ b/src/boragespring/forwarding/server_statements.py
@@ -19,9 +19,15 @@
     ----------
     is_leaving : bool
         Whether the server leaves and accepts no new requests.
+    retry_after_s : float or None
+        Time in seconds for which the server wants no requests of this gateway.
+    unreadable_retry_after : str
+        Value for that time that is no usable number; empty if there is none.
     """
 
     is_leaving: bool = False
+    retry_after_s: float | None = None
+    unreadable_retry_after: str = ""
 
 
 class ServerStatements:
@@ -34,7 +40,7 @@
     notify_leaving : callable
         Notifies other gateways that a server is leaving.
     log : DecisionLog
-        Log of notices from other gateways that do not apply.
+        Log of unreadable statements and of notices that do not apply.
     """
 
     def __init__(
@@ -52,6 +58,14 @@
         if statement.is_leaving and not server.has_stated_leaving:
             self._fleet.mark_leaving(server, "its reply", is_final=True)
             self._notify_leaving(LeavingNotice.of(server))
+        if statement.retry_after_s is not None:
+            self._fleet.pause(server, statement.retry_after_s)
+        if statement.unreadable_retry_after:
+            self._log.state_change(
+                "retry_after_unreadable",
+                server=server.server_id,
+                value=statement.unreadable_retry_after,
+            )
 
     def on_notice(self, notice: LeavingNotice) -> None:
         """Apply the statement that a server made to another gateway."""
--- a/src/boragespring/forwarding/streaming.py
+++ b/src/boragespring/forwarding/streaming.py
@@ -174,7 +174,7 @@
         while True:
             server = self._choose(job, history)
             if server is None:
-                return self._build_refusal(RefusalReason.NO_SERVER)
+                return self._refuse_without_server(job)
             refusal = self._check_overload(job, server)
             if refusal is not None:
                 return refusal
@@ -196,6 +196,12 @@
             if history.count >= self._settings.sends_max:
                 return self._build_refusal(RefusalReason.OVERLOADED)
 
+    def _refuse_without_server(self, job: Job) -> Refusal:
+        retry_after_s = self._context.retry_after_s(
+            job, self._settings.retry_after_s, self._rng
+        )
+        return Refusal(RefusalReason.NO_SERVER, True, retry_after_s)
+
     def _choose(self, job: Job, history: _SendHistory) -> BackendServer | None:
         engine = job.service.engine
         prompt = job.request.prompt or _NO_PROMPT
--- a/src/boragespring/platform/emulator/engine.py
+++ b/src/boragespring/platform/emulator/engine.py
@@ -113,6 +113,8 @@
         their connection is closed.
     preemptions : int
         Number of preemptions so far.
+    retry_after : str
+        Value of ``Retry-After`` in rejections; all are rejected unless it is empty.
     states_leaving : bool
         Whether the server states in all its replies that it leaves.
     leaves_at_s : float or None
@@ -133,6 +135,7 @@
     closes_before_event: int = 0
     sends_unframed: bool = False
     preemptions: int = 0
+    retry_after: str = ""
     states_leaving: bool = False
     leaves_at_s: float | None = None
     port: int = 0
@@ -253,15 +256,21 @@
         run_id = headers[names.REQUEST_ID.lower()]
         if headers.get(names.EXPECTED_SERVER.lower()) != self.server_id:
             return web.Response(status=421)
-        run = self._admit(run_id, headers)
+        run = None if self.retry_after else self._admit(run_id, headers)
         if run is None:
-            return web.Response(status=503, headers={names.NOT_RUN: "1"})
+            return self._reject()
         self.runs[run_id] = run
         try:
             return await self._stream(request, run)
         finally:
             self.runs.pop(run_id, None)
 
+    def _reject(self) -> web.Response:
+        headers = {names.NOT_RUN: "1"}
+        if self.retry_after:
+            headers[names.RETRY_AFTER] = self.retry_after
+        return web.Response(status=503, headers=headers)
+
     def _admit(self, run_id: str, headers: dict[str, str]) -> _Run | None:
         source = headers.get(names.COPY_SOURCE.lower())
         if source:
--- a/src/boragespring/platform/emulator/service.py
+++ b/src/boragespring/platform/emulator/service.py
@@ -80,6 +80,8 @@
         All requests received so far.
     states_leaving : bool
         Whether the server states in all its replies that it leaves.
+    retry_after : str
+        Value of ``Retry-After`` in rejections; empty to send none.
     error_body : bytes
         Body of the replies with the fault `ERROR`.
     runs : list of str
@@ -97,6 +99,7 @@
     default_fault: ServiceFault = ServiceFault.NONE
     received: list[ReceivedRequest] = field(factory=list)
     states_leaving: bool = False
+    retry_after: str = ""
     error_body: bytes = b""
     runs: list[str] = field(factory=list)
     cancelled: list[str] = field(factory=list)
@@ -141,6 +144,8 @@
         request_id = request.headers.get(names.REQUEST_ID.lower(), "")
         if fault is ServiceFault.SHED:
             not_run = {names.NOT_RUN: "1", **self._state_headers()}
+            if self.retry_after:
+                not_run[names.RETRY_AFTER] = self.retry_after
             writer.write(_encode_reply(503, request_id, b"", not_run))
             return
         if fault is ServiceFault.OTHER_SERVER:
--- a/src/boragespring/platform/server_calls.py
+++ b/src/boragespring/platform/server_calls.py
@@ -1,6 +1,7 @@
 """HTTP calls to backend servers, each on a connection of its own."""
 
 import json
+import math
 import time
 from collections.abc import AsyncIterator, Callable
 from typing import Any
@@ -33,6 +34,8 @@
 _OK = 200
 _NOT_FOUND = 404
 _MISDIRECTED = 421
+_UNAVAILABLE = 503
+_LOGGED_VALUE_MAX_CHARACTERS = 40
 _IS_LEAVING = "1"
 #: Maximum length of a header line in a reply.
 HEADER_LINE_MAX_BYTES = 32 * 1024
@@ -258,8 +261,24 @@
 
 
 def _parse_statement(response: aiohttp.ClientResponse) -> ServerStatement:
-    text = response.headers.get(names.SERVER_LEAVING, "")
-    return ServerStatement(is_leaving=text.strip() == _IS_LEAVING)
+    is_leaving = response.headers.get(names.SERVER_LEAVING, "").strip() == _IS_LEAVING
+    retry_after = response.headers.get(names.RETRY_AFTER, "").strip()
+    if response.status != _UNAVAILABLE or not retry_after:
+        return ServerStatement(is_leaving)
+    retry_after_s = _parse_seconds(retry_after)
+    if retry_after_s is None:
+        unreadable = retry_after[:_LOGGED_VALUE_MAX_CHARACTERS]
+        return ServerStatement(is_leaving, unreadable_retry_after=unreadable)
+    return ServerStatement(is_leaving, retry_after_s)
+
+
+def _parse_seconds(text: str) -> float | None:
+    """Return a time in seconds, or None for anything but a finite number from 0 on."""
+    try:
+        seconds = float(text)
+    except ValueError:
+        return None
+    return seconds if math.isfinite(seconds) and seconds >= 0 else None
 
 
 def _parse_object(data: bytes) -> dict[str, Any]:
--- a/src/boragespring/platform/tests/test_server_statements.py
+++ b/src/boragespring/platform/tests/test_server_statements.py
@@ -89,8 +89,10 @@
         engines = platform.engines.values()
         await wait_until(lambda: any(engine.runs for engine in engines))
         leaving = next(engine for engine in engines if engine.runs)
+        # The head of the first reply was sent before; that of the second one is the
+        # first to state it.
+        await wait_until(lambda: leaving.runs["s1"].event_count)
         leaving.states_leaving = True
-        # The reply to this stream, at its head, is the first that says so.
         others = [engine for engine in engines if engine is not leaving]
         for engine in others:
             platform.register(
@@ -113,3 +115,80 @@
             if names.COPY_SOURCE.lower() in headers
         ]
         assert len(moved) == 2
+
+
+async def test_server_that_asks_for_a_pause_gets_nothing_until_its_end(session):
+    async with deployment(services=2) as platform:
+        process = platform.gateways[0]
+        paused = platform.services["desk-0"]
+        paused.default_fault = ServiceFault.SHED
+        paused.retry_after = "1.5"
+        await send_until_leaving(session, process, [paused])
+        for number in range(12):
+            assert await fetch_status(session, process, request_id=f"r{number}") == 200
+        assert len(paused.received) == 1
+        (record,) = log_records(process, "server_paused")
+        assert (record.server, record.for_s) == ("desk-0", 1.5)
+        paused.default_fault = ServiceFault.NONE
+        await asyncio.sleep(1.5)
+        for number in range(12):
+            await fetch_status(session, process, request_id=f"later-{number}")
+        assert len(paused.received) > 1
+
+
+async def test_calls_are_refused_until_the_first_of_all_paused_servers_returns(session):
+    async with deployment(services=2) as platform:
+        process = platform.gateways[0]
+        for name, retry_after in (("desk-0", "3"), ("desk-1", "2")):
+            platform.services[name].default_fault = ServiceFault.SHED
+            platform.services[name].retry_after = retry_after
+        await fetch_status(session, process, request_id="r1")
+        started_s = asyncio.get_running_loop().time()
+        async with session.post(
+            process.url + "/book/x", headers=request_headers("r2")
+        ) as response:
+            assert response.status == 503
+            assert 1.5 < float(response.headers["Retry-After"]) < 3.0
+        assert asyncio.get_running_loop().time() - started_s < 0.2
+        received = [len(service.received) for service in platform.services.values()]
+        assert received == [1, 1]
+
+
+async def test_generations_skip_a_paused_engine_and_are_refused_without_another(
+    session,
+):
+    async with deployment(engines=2) as platform:
+        process = platform.gateways[0]
+        headers = prompt_headers(100, 8)
+        for engine in platform.engines.values():
+            engine.retry_after = "2"
+
+        async def post(request_id):
+            async with session.post(
+                process.url + "/draft/x",
+                headers=request_headers(request_id, **headers),
+                data=b"p",
+            ) as response:
+                return response.status, response.headers.get("Retry-After")
+
+        status, retry_after = await post("s1")
+        assert status == 503 and 1.5 < float(retry_after) < 3.0
+        platform.engines["engine-0"].retry_after = ""
+        assert (await post("s2"))[0] == 503
+        received = [
+            len(engine.received_headers) for engine in platform.engines.values()
+        ]
+        assert received == [1, 1]
+
+
+@pytest.mark.parametrize("value", ["soon", "-3", "nan", "inf", ""])
+async def test_unusable_retry_after_asks_for_no_pause(session, value):
+    async with deployment(services=1) as platform:
+        process = platform.gateways[0]
+        service = platform.services["desk-0"]
+        service.faults.append(ServiceFault.SHED)
+        service.retry_after = value
+        assert await fetch_status(session, process, request_id="r1") == 503
+        assert await fetch_status(session, process, request_id="r2") == 200
+        unreadable = log_records(process, "retry_after_unreadable")
+        assert len(unreadable) == (value != "")
