Filter only the sampled servers when placing a request

Change: the sample is drawn first and filtered; only if nothing of it remains, all are filtered. A test draws from 60 paused servers and one that is not.

--- a/src/boragespring/forwarding/placement.py
+++ b/src/boragespring/forwarding/placement.py
@@ -94,19 +94,25 @@
     call: ServiceCall | GenerationCall, view: PlacementView, settings: PlacementSettings
 ) -> BackendServer | None:
     """Return the server with the lowest cost, or None if there is no candidate."""
-    eligible = [
-        candidate
-        for candidate in view.servers
-        if candidate.paused_until_s <= view.now_s
-        and candidate.server_id not in view.excluded
-    ]
+    compared = view.servers
+    if len(compared) > settings.compare_all_max:
+        compared = random.sample(compared, settings.sample_size)
+    eligible = _eligible(compared, view) or _eligible(view.servers, view)
     if not eligible:
         return None
-    if len(eligible) > settings.compare_all_max:
-        eligible = random.sample(eligible, settings.sample_size)
     return min(eligible, key=lambda server: server_cost_s(call, server, view, settings))
 
 
+def _eligible(
+    servers: Sequence[BackendServer], view: PlacementView
+) -> list[BackendServer]:
+    return [
+        server
+        for server in servers
+        if server.paused_until_s <= view.now_s and server.server_id not in view.excluded
+    ]
+
+
 @singledispatch
 def server_cost_s(
     call: object,
--- a/src/boragespring/forwarding/tests/test_pauses.py
+++ b/src/boragespring/forwarding/tests/test_pauses.py
@@ -42,3 +42,10 @@
     delays_s = [spread_return_s(2.0, rng) for _ in range(200)]
     assert 2.0 <= min(delays_s) < max(delays_s) <= 2.0 * (1.0 + RETURN_SPREAD)
     assert max(delays_s) - min(delays_s) > 1.8 * RETURN_SPREAD
+
+
+def test_the_last_server_that_accepts_requests_is_found_among_many():
+    servers = [paused(f"paused-{number}", 5.0) for number in range(60)]
+    servers += [server("free")]
+    for _ in range(20):
+        assert choose(ServiceCall(), servers).server_id == "free"
