Soak: broken-off unframed streams, restored stores, leaving and pausing servers

A new check: a gateway sends nothing to a server more than 2 s after it passed on a reply in which that server stated its leaving. The emulated platform can write its registrations again after the loss.

--- a/src/boragespring/platform/emulator/deployment.py
+++ b/src/boragespring/platform/emulator/deployment.py
@@ -224,6 +224,17 @@
         key = names.REGISTRATION_PREFIX + name
         self.store.put(key, json.dumps(entry).encode())
 
+    def register_again(self) -> None:
+        """Write the registrations of all running servers again."""
+        for name, engine in self.engines.items():
+            state = "ready" if engine.leaves_at_s is None else "draining"
+            if engine.address in self._engines_by_address:
+                self.register(
+                    name, MODEL_SERVICE, engine.port, engine.spec.slots, state=state
+                )
+        for name, service in self.services.items():
+            self.register(name, PLAIN_SERVICE, service.port, 6)
+
     def reclaim(self, name: str, notice_s: float) -> "asyncio.Task[None]":
         """Announce that an engine leaves, and stop it when the notice has elapsed.
 
--- a/src/boragespring/platform/soak/injector.py
+++ b/src/boragespring/platform/soak/injector.py
@@ -24,6 +24,11 @@
 RECLAIM_NOTICE_S = 1.0
 UNREGISTER_DELAY_S = 1.0
 FAULTY_REPLIES = 12
+#: Time after the return of the store in which servers and operator write again.
+REWRITE_DELAY_S = 0.8
+PAUSE_S = "1.0"
+#: Breaking off happens within one of the first events of a stream.
+BROKEN_EVENTS_MAX = 20
 #: Tolerance beyond the time bound within which a change has to take effect.
 CHANGE_TOLERANCE_S = 0.5
 #: Faults under which some gateway may not receive a change within that bound.
@@ -37,6 +42,7 @@
         SoakFaultKind.STORE_UNREACHABLE,
         SoakFaultKind.STORE_REPLIES_LOST,
         SoakFaultKind.FROZEN,
+        SoakFaultKind.STORE_RESTORED,
     )
 )
 #: Faults of a service to inject. These exclude `HANG`, which never replies, and
@@ -91,6 +97,10 @@
             SoakFaultKind.ENGINE_RECLAIMED: self._reclaim_engine,
             SoakFaultKind.ENGINE_CRASHED: self._crash_engine,
             SoakFaultKind.SERVICE_FAULTS: self._queue_service_faults,
+            SoakFaultKind.STREAMS_BROKEN: self._break_streams,
+            SoakFaultKind.STORE_RESTORED: self._restore_store,
+            SoakFaultKind.SERVER_LEAVING: self._state_leaving,
+            SoakFaultKind.SERVER_PAUSED: self._pause_service,
         }
 
     async def run(self) -> None:
@@ -244,3 +254,45 @@
             SERVICE_FAULTS[(first + number) % len(SERVICE_FAULTS)]
             for number in range(FAULTY_REPLIES)
         )
+
+    async def _break_streams(self, fault: SoakFault) -> None:
+        """Send streams without a length or chunks, and break some off in an event."""
+        engines = list(self.deployment.platform.engines.values())
+        for engine in engines:
+            engine.sends_unframed = True
+            engine.truncates_at_event = 1 + fault.choice % BROKEN_EVENTS_MAX
+        await asyncio.sleep(fault.duration_s)
+        for engine in engines:
+            engine.sends_unframed = False
+
+    async def _restore_store(self, fault: SoakFault) -> None:
+        """Let the store return from a copy of the time at which the fault began."""
+        platform = self.deployment.platform
+        copied_at = platform.store.keyspace.revision
+        await asyncio.sleep(fault.duration_s)
+        async with self._store_lock:
+            platform.store.mode = StoreMode.RESETTING
+            platform.store.keyspace.wake()
+            await asyncio.sleep(ALL_DOWN_S)
+            if platform.store.keyspace.compacted_revision <= copied_at:
+                platform.store.keyspace.restore(copied_at)
+            platform.store.mode = StoreMode.SERVING
+        await asyncio.sleep(REWRITE_DELAY_S)
+        platform.publish_catalog()
+        platform.register_again()
+
+    async def _state_leaving(self, fault: SoakFault) -> None:
+        """Let one service state that it leaves, unless another one does."""
+        services = list(self.deployment.platform.services.values())
+        if not any(service.states_leaving for service in services):
+            services[fault.choice % len(services)].states_leaving = True
+
+    async def _pause_service(self, fault: SoakFault) -> None:
+        """Let one service reject all requests and ask for a pause."""
+        services = list(self.deployment.platform.services.values())
+        service = services[fault.choice % len(services)]
+        service.default_fault = ServiceFault.SHED
+        service.retry_after = PAUSE_S
+        await asyncio.sleep(fault.duration_s)
+        service.default_fault = ServiceFault.NONE
+        service.retry_after = ""
--- a/src/boragespring/platform/soak/schedule.py
+++ b/src/boragespring/platform/soak/schedule.py
@@ -1,6 +1,7 @@
 """Generate the faults of a soak run from a seed. Faults of a run may overlap."""
 
 import random
+from collections.abc import Sequence
 from enum import StrEnum
 
 from boragespring.faults import SeededFault
@@ -29,6 +30,10 @@
     ENGINE_RECLAIMED = "engine_reclaimed"
     ENGINE_CRASHED = "engine_crashed"
     SERVICE_FAULTS = "service_faults"
+    STREAMS_BROKEN = "unframed_streams_broken_off"
+    STORE_RESTORED = "store_returned_from_a_copy"
+    SERVER_LEAVING = "server_states_its_leaving"
+    SERVER_PAUSED = "server_asks_for_a_pause"
 
 
 #: Planned operations, which alone must not truncate any response.
@@ -39,8 +44,18 @@
         SoakFaultKind.RELOADED,
         SoakFaultKind.CATALOG_CHANGED,
         SoakFaultKind.ENGINE_RECLAIMED,
+        SoakFaultKind.SERVER_LEAVING,
     )
 )
+#: Kinds that are drawn apart from the others, so that a seed keeps the faults of the
+#: other kinds that it had before these were added.
+ADDED_KINDS = (
+    SoakFaultKind.STREAMS_BROKEN,
+    SoakFaultKind.STORE_RESTORED,
+    SoakFaultKind.SERVER_LEAVING,
+    SoakFaultKind.SERVER_PAUSED,
+)
+ADDED_FAULTS_MAX = 2
 
 FAULTS_MIN, FAULTS_MAX = 2, 4
 START_MIN_S, START_MAX_S = 0.2, 3.0
@@ -54,12 +69,20 @@
 
 def generate_faults(seed: int) -> tuple[SoakFault, ...]:
     """Return the faults of a seed; the same seed always gives the same faults."""
+    is_planned = seed % PLANNED_SEED_INTERVAL == 0
+    allowed = sorted(PLANNED_KINDS) if is_planned else list(SoakFaultKind)
     rng = random.Random(seed)
-    kinds = (
-        sorted(PLANNED_KINDS)
-        if seed % PLANNED_SEED_INTERVAL == 0
-        else list(SoakFaultKind)
-    )
+    first_kinds = [kind for kind in allowed if kind not in ADDED_KINDS]
+    faults = _draw_faults(rng, first_kinds, rng.randint(FAULTS_MIN, FAULTS_MAX))
+    added_rng = random.Random(f"added {seed}")
+    added_kinds = [kind for kind in allowed if kind in ADDED_KINDS]
+    count = added_rng.randint(0, ADDED_FAULTS_MAX)
+    return (*faults, *_draw_faults(added_rng, added_kinds, count))
+
+
+def _draw_faults(
+    rng: random.Random, kinds: Sequence[SoakFaultKind], count: int
+) -> tuple[SoakFault, ...]:
     return tuple(
         SoakFault(
             rng.choice(kinds),
@@ -67,5 +90,5 @@
             rng.uniform(DURATION_MIN_S, DURATION_MAX_S),
             rng.randrange(1000),
         )
-        for _ in range(rng.randint(FAULTS_MIN, FAULTS_MAX))
+        for _ in range(count)
     )
--- a/src/boragespring/platform/soak/tests/test_soak.py
+++ b/src/boragespring/platform/soak/tests/test_soak.py
@@ -94,6 +94,23 @@
     assert breach_kinds(record, **changes) == {kind}
 
 
+def test_verdict_reports_calls_sent_to_a_server_that_stated_its_leaving():
+    told = make_booking(headers={"Server-Leaving": "1"})
+    later = make_booking(request_id="r2", sent_at_s=12.2, reply_request_id="r2")
+    soon = make_booking(request_id="r3", sent_at_s=12.0, reply_request_id="r3")
+    restarted = make_booking(
+        request_id="r4", sent_at_s=13.0, reply_request_id="r4", gateway_start_count=1
+    )
+    service = EmulatedService("desk-0", states_leaving=True)
+    records = [told, later, soon, restarted]
+    service.runs += [record.request_id for record in records]
+    platform = EmulatedPlatform(services={"desk-0": service})
+    breaches = check_guarantees(records, platform, (), is_planned=False)
+    assert [(breach.kind, breach.marker) for breach in breaches] == [
+        (SoakBreachKind.SENT_TO_LEAVING, "r2")
+    ]
+
+
 def test_allowed_outcomes_are_not_reported():
     assert not breach_kinds(make_booking())
     assert not breach_kinds(make_booking(kind=RequestKind.LOOK), runs=2)
--- a/src/boragespring/platform/soak/verdict.py
+++ b/src/boragespring/platform/soak/verdict.py
@@ -7,7 +7,8 @@
 from attrs import frozen
 
 from boragespring.faults import Breach
-from boragespring.platform.emulator import EmulatedPlatform
+from boragespring.platform import names
+from boragespring.platform.emulator import EmulatedPlatform, EmulatedService
 from boragespring.platform.soak.callers import CallRecord, RequestKind
 
 __all__ = ["KeyRemoval", "SoakBreachKind", "check_guarantees"]
@@ -16,6 +17,8 @@
 #: Statuses that guarantee that a request has not run and will not run.
 NOT_RUN = frozenset((408, 421, 429, 503))
 IDEMPOTENT_RUNS_MAX = 2
+#: Time after which a gateway sends nothing to a server that stated its leaving.
+DRAIN_DELAY_S = 2.0
 
 
 class SoakBreachKind(StrEnum):
@@ -29,6 +32,7 @@
     SERVED_REMOVED_KEY = "served_removed_key"
     DENIED = "denied"
     CUT_BY_PLANNED_WORK = "cut_by_planned_work"
+    SENT_TO_LEAVING = "sent_to_leaving_server"
     NOT_READY = "not_ready_after_faults"
     EXIT_CODE = "exit_code"
 
@@ -83,7 +87,13 @@
         ]
     )
     bodies = {service.body for service in platform.services.values()}
-    return [
+    sent_to_leaving = [
+        Breach(SoakBreachKind.SENT_TO_LEAVING, record.request_id, _describe(record))
+        for service in platform.services.values()
+        if service.states_leaving
+        for record in _records_sent_to_leaving(records, service)
+    ]
+    return sent_to_leaving + [
         Breach(kind, record.request_id, f"{detail}; {_describe(record)}")
         for record in records
         for kind, detail in (
@@ -138,6 +148,28 @@
         yield SoakBreachKind.DENIED, "its API key was valid"
 
 
+def _records_sent_to_leaving(
+    records: Sequence[CallRecord], service: EmulatedService
+) -> Iterable[CallRecord]:
+    """Return requests that a gateway sent though it knew that the server leaves.
+
+    A gateway knows from the first reply of the server that it passed on; a restart of
+    the gateway excuses it.
+    """
+    known_at_s: dict[tuple[str, int], float] = {}
+    for record in records:
+        if names.SERVER_LEAVING in record.headers and record.body == service.body:
+            process = (record.gateway.name, record.gateway_start_count)
+            known = known_at_s.get(process, float("inf"))
+            known_at_s[process] = min(known, record.ended_at_s)
+    runs = set(service.runs)
+    for record in records:
+        process = (record.gateway.name, record.gateway_start_count)
+        bound_s = known_at_s.get(process, float("inf")) + DRAIN_DELAY_S
+        if record.request_id in runs and record.sent_at_s > bound_s:
+            yield record
+
+
 def _check_end(record: CallRecord, is_planned: bool) -> Iterable[Finding]:
     if not record.is_ended:
         yield SoakBreachKind.NO_END, "no end before the timeout"
