--- a/src/boragespring/gateway_peers/tests/peer_fleet.py
+++ b/src/boragespring/gateway_peers/tests/peer_fleet.py
@@ -51,6 +51,19 @@
         self.local.received[type(message).__name__] += 1
         self.local.dispatcher.handlers[type(message)](self, message)
 
+    async def call(self, message, reply_type, timeout_s):
+        """Let the other end handle a call, and return its reply."""
+        await asyncio.sleep(LATENCY_S)
+        if not self.is_up or self.local.group.is_cut(self.local.name, self.peer.name):
+            raise LinkClosedError("closed")
+        other = self.other
+        reply = await other.local.dispatcher.call_handlers[type(message)](
+            other, message
+        )
+        assert type(reply) is reply_type
+        await asyncio.sleep(LATENCY_S)
+        return reply
+
     def close(self):
         if self.is_up:
             self.is_up = False
--- a/src/boragespring/store/memory_store.py
+++ b/src/boragespring/store/memory_store.py
@@ -99,12 +99,14 @@
     async def grant_lease(self, ttl_s: float) -> Lease:
         """Create a lease."""
         await self._begin_call("lease")
-        return Lease(self.keyspace.grant_lease(ttl_s), ttl_s)
+        lease_id = self.keyspace.grant_lease(ttl_s)
+        return Lease(lease_id, ttl_s, self.keyspace.generation)
 
     async def renew_lease(self, lease_id: int) -> Lease:
         """Renew a lease; raise `LeaseExpiredError` if it has expired."""
         await self._begin_call("lease")
-        return Lease(lease_id, self.keyspace.renew_lease(lease_id))
+        ttl_s = self.keyspace.renew_lease(lease_id)
+        return Lease(lease_id, ttl_s, self.keyspace.generation)
 
     async def revoke_lease(self, lease_id: int) -> None:
         """Revoke a lease and delete the keys attached to it."""
