--- a/src/boragespring/claims/tests/test_once.py
+++ b/src/boragespring/claims/tests/test_once.py
@@ -6,7 +6,8 @@
 import pytest
 
 from boragespring.answers.messages import SubmitCall
-from boragespring.claims import ClaimedCalls, RunOnceMemory, SpentReason
+from boragespring.claims import RunOnceMemory, SpentReason
+from boragespring.claims.operations import ClaimOperations
 from boragespring.claims.record import claim_key, new_record, request_digest
 from boragespring.faults import FaultDeployment
 from boragespring.local import LOCAL_API_KEY
@@ -108,7 +109,7 @@
         await asyncio.sleep(0.01)
     number = next(n for n, s in enumerate(deployment.services) if s.ledger)
     name = f"service-{number}"
-    query_agent = ClaimedCalls.query_agent
+    query_agent = ClaimOperations.query_agent
     test_loop = asyncio.get_running_loop()
 
     async def stop_agent():
@@ -122,7 +123,7 @@
         await asyncio.wrap_future(stopping)
         return await query_agent(self, record, request)
 
-    monkeypatch.setattr(ClaimedCalls, "query_agent", query_after_stop)
+    monkeypatch.setattr(ClaimOperations, "query_agent", query_after_stop)
     duplicate = await post(session, url(deployment, 1))
     assert duplicate == await first
     assert (duplicate[0], len(runs_of(deployment))) == (200, 1)
