Give each router a policy of its own

What callers saw: with round robin, requests of two services that alternate all went to one agent of each. Cause: routers of all services shared the settings' policy object and so its position. Evidence: test_services_that_share_settings_are_spread_independently was red before (10 of 10 to one agent), green now; tests of routing/, entry/, local/ pass.

--- a/src/boragespring/routing/router.py
+++ b/src/boragespring/routing/router.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Iterable
 from enum import StrEnum
 
-from attrs import Factory, define, field, frozen
+from attrs import Factory, define, evolve, field, frozen
 
 from boragespring.routing.candidates import Candidate
 from boragespring.routing.ejection import Ejection, EjectionSettings
@@ -88,6 +88,7 @@
     clock: Callable[[], float] = time.monotonic
     ejection: Ejection = field(init=False)
     candidates: dict[str, Candidate] = field(init=False, factory=dict)
+    _policy: RoutingPolicy = field(init=False)
     _holders: dict[int, dict[str, Candidate]] = field(init=False, factory=dict)
     _eligible: list[Candidate] = field(init=False, factory=list)
     _eligible_until_s: float = field(init=False, default=float("-inf"))
@@ -96,6 +97,8 @@
 
     def __attrs_post_init__(self) -> None:
         self.ejection = Ejection(self.settings.ejection)
+        # Routers share their settings, while a policy can have a state of its own.
+        self._policy = evolve(self.settings.policy)
 
     def set_agents(self, agents: Iterable[Placement]) -> None:
         """Replace the set of agents, keeping the state of those that remain."""
@@ -196,7 +199,7 @@
             raise RouteRefusedError(RouteRefusedCode.NO_AGENT, NO_AGENT_RETRY_AFTER_S)
         self._shed_if_overloaded(request, now_s)
         view = RouteView(eligible, self._holders, excluded, self.zone, self.rng, now_s)
-        candidate = choose(self.settings.policy, request, view)
+        candidate = choose(self._policy, request, view)
         candidate.open_requests += 1
         candidate.unreported_requests += 1
         candidate.unreported_tokens += candidate.footprint_tokens(
--- a/src/boragespring/routing/tests/test_router.py
+++ b/src/boragespring/routing/tests/test_router.py
@@ -60,6 +60,16 @@
     assert set(counts.values()) == {10}
 
 
+def test_services_that_share_settings_are_spread_independently():
+    settings = RouterSettings(policy=RoundRobin())
+    routers = [Router("z1", settings, random.Random(3), Clock()) for _ in range(2)]
+    for router in routers:
+        router.set_agents([Placement("a0", "z1"), Placement("a1", "z1")])
+    chosen = [[router.choose(REQUEST) for router in routers] for _ in range(10)]
+    for names in zip(*chosen, strict=True):
+        assert Counter(names) == {"a0": 5, "a1": 5}
+
+
 def test_local_zone_is_preferred_until_overloaded():
     router = make_router()
     local_agents = {"a0", "a3"}
