Pass the leave grace of a local deployment on to its entries

LocalSettings.leave_grace_s was read by nobody: entries of local deployments waited 5 s before they left, tests and demo too.

--- a/src/boragespring/entry/tests/test_leaving.py
+++ b/src/boragespring/entry/tests/test_leaving.py
@@ -71,3 +71,8 @@
             assert (response.status, error["code"]) == (503, "leaving")
             assert error["not_run"] is True
         assert len(deployment.engines[0].ledger) == 0
+
+
+def test_entries_of_a_local_deployment_get_its_leave_grace():
+    deployment = LocalDeployment(LocalSettings(leave_grace_s=0.3))
+    assert deployment.entry_settings("entry-1", "zone-a").leave_grace_s == 0.3
--- a/src/boragespring/local/deployment.py
+++ b/src/boragespring/local/deployment.py
@@ -235,6 +235,7 @@
             links=self.settings.links,
             callers=self.settings.callers,
             claims=self.settings.claims,
+            leave_grace_s=self.settings.leave_grace_s,
             stop_timeout_s=self.settings.stop_timeout_s,
         )
 
