--- a/src/boragespring/standins/engine_core.py
+++ b/src/boragespring/standins/engine_core.py
@@ -9,7 +9,6 @@
 from attrs import Factory, define, field, frozen
 
 __all__ = [
-    "BATCH_HISTORY_LENGTH",
     "EngineCore",
     "EngineCoreSettings",
     "EngineSnapshot",
@@ -21,7 +20,6 @@
 
 CHARACTERS_PER_TOKEN = 4
 CACHE_BLOCK_TOKENS = 16
-BATCH_HISTORY_LENGTH = 512
 
 
 def count_prompt_tokens(prompt: str) -> int:
