--- a/src/boragespring/bench/tests/test_capacity_page.py
+++ b/src/boragespring/bench/tests/test_capacity_page.py
@@ -2,12 +2,12 @@
 
 from pathlib import Path
 
-from boragespring.bench.capacity_page import (
+from boragespring.bench.capacity_model import (
     TARGET_SETTINGS,
     CapacityModel,
     TargetSize,
-    render_page,
 )
+from boragespring.bench.capacity_page import render_page
 from boragespring.bench.membership import fit, load_slopes
 
 DOCS = Path(__file__).parents[4] / "docs"
