--- a/src/boragespring/faults/deployment.py
+++ b/src/boragespring/faults/deployment.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import itertools
+import time
 from http import HTTPStatus
 from types import TracebackType
 
 import aiohttp
+from absl import logging
 
 from boragespring.agent import AgentDaemon
 from boragespring.composition.agent import build_agent
@@ -32,7 +34,7 @@
 
 LOOPBACK = "127.0.0.1"
 READY_POLL_INTERVAL_S = 0.02
-READY_POLLS_MAX = 100
+READY_TIMEOUT_S = 10.0
 
 
 def fault_settings() -> LocalSettings:
@@ -125,9 +127,16 @@
         return self.hosted_entries[names[number % len(names)]].daemon.url
 
     async def wait_ready(self) -> None:
-        """Wait until every balanced entry is ready, that is, linked to its agents."""
-        for name in tuple(self.balanced_entries):
-            await self._wait_entry_ready(self.hosted_entries[name].daemon.url)
+        """Wait until every balanced entry is ready, that is, linked to its agents.
+
+        Raises
+        ------
+        TimeoutError
+            If an entry is not ready in time.
+        """
+        for name in sorted(self.balanced_entries):
+            if not await self._wait_entry_ready(name):
+                raise TimeoutError(f"{name} is not ready after {READY_TIMEOUT_S} s")
 
     async def replace_agent(self, name: str) -> None:
         """Start a new agent for the same server if the agent has ended."""
@@ -149,21 +158,27 @@
     async def add_entry(self) -> None:
         """Start another entry and add it to the load balancer once it is ready."""
         name = f"entry-{next(self._entry_numbers)}"
-        entry = await self.start_entry(name, self.settings.zones[0])
+        await self.start_entry(name, self.settings.zones[0])
         self.balanced_entries.discard(name)
-        await self._wait_entry_ready(entry.url)
+        if not await self._wait_entry_ready(name):
+            # Faults of the run can delay it; the run goes on.
+            logging.warning("event=entry_not_ready entry=%s", name)
         self.balanced_entries.add(name)
 
-    async def _wait_entry_ready(self, url: str) -> None:
+    async def _wait_entry_ready(self, name: str) -> bool:
+        """Return whether an entry becomes ready in time, or True if it has ended."""
+        url = self.hosted_entries[name].daemon.url
+        deadline_s = time.monotonic() + READY_TIMEOUT_S
         async with aiohttp.ClientSession() as session:
-            for _ in range(READY_POLLS_MAX):
+            while time.monotonic() < deadline_s:
                 try:
                     async with session.get(f"{url}/readyz") as response:
                         if response.status == HTTPStatus.OK:
-                            return
+                            return True
                 except aiohttp.ClientError:
-                    return
+                    return True
                 await asyncio.sleep(READY_POLL_INTERVAL_S)
+        return False
 
     async def start_agent(self, name: str, zone: str, server: ServerSettings) -> None:
         """Start an agent on its own event loop and list it with its relay's port."""
