Share the start of the tests in which a server leaves

Six tests of streams repeated nine lines: start a stream, wait, find its server, let it leave, read to the end.

--- a/src/boragespring/platform/tests/test_forwarding_streams.py
+++ b/src/boragespring/platform/tests/test_forwarding_streams.py
@@ -67,15 +67,7 @@
     async with deployment(engines=2) as platform:
         for engine in platform.engines.values():
             engine.sends_unframed = True
-        task = asyncio.create_task(_read_stream(session, platform.gateways[0], "s1"))
-        await wait_until(lambda: _started_runs(platform))
-        await asyncio.sleep(0.3)
-        leaving_server = next(
-            server for server in platform.engines.values() if server.runs
-        )
-        reclaim = platform.reclaim(leaving_server.server_id, notice_s=0.8)
-        events, _ = await task
-        await reclaim
+        events, _ = await _read_while_server_leaves(session, platform, 0.8, lead_s=0.3)
         assert events == list(range(1, 101))
         assert _started_runs(platform) == ["s1"]
 
@@ -95,17 +87,9 @@
         for engine in platform.engines.values():
             engine.sends_unframed = True
         prompt = prompt_headers(1000, 80)
-        task = asyncio.create_task(
-            _read_stream(session, platform.gateways[0], "s1", prompt)
-        )
-        await wait_until(lambda: _started_runs(platform))
-        await asyncio.sleep(0.1)
-        leaving_server = next(
-            server for server in platform.engines.values() if server.runs
+        events, _ = await _read_while_server_leaves(
+            session, platform, 2.0, lead_s=0.1, prompt=prompt
         )
-        reclaim = platform.reclaim(leaving_server.server_id, notice_s=2.0)
-        events, _ = await task
-        await reclaim
         assert events == list(range(1, 21))
         resumed = [
             headers
@@ -140,11 +124,7 @@
 async def test_target_that_refuses_the_copy_is_skipped(session):
     async with deployment(engines=3) as platform:
         task = asyncio.create_task(_read_stream(session, platform.gateways[0], "s1"))
-        await wait_until(lambda: _started_runs(platform))
-        await asyncio.sleep(0.2)
-        leaving_server = next(
-            server for server in platform.engines.values() if server.runs
-        )
+        leaving_server = await _server_of_the_first_run(platform, 0.2)
         other_servers = [
             server
             for server in platform.engines.values()
@@ -192,15 +172,7 @@
     # The final copy, which stops the run, takes longer than the notice.
     spec = EngineSpec(final_copy_overhead_s=1.0)
     async with deployment(engines=2, engine_spec=spec) as platform:
-        task = asyncio.create_task(_read_stream(session, platform.gateways[0], "s1"))
-        await wait_until(lambda: _started_runs(platform))
-        await asyncio.sleep(0.2)
-        leaving_server = next(
-            server for server in platform.engines.values() if server.runs
-        )
-        reclaim = platform.reclaim(leaving_server.server_id, notice_s=0.4)
-        events, _ = await task
-        await reclaim
+        events, _ = await _read_while_server_leaves(session, platform, 0.4, lead_s=0.2)
         assert events == list(range(1, 101))
         assert len(_started_runs(platform)) == 1
 
@@ -219,15 +191,9 @@
 
     monkeypatch.setattr(HttpServerCalls, "send", send_unless_moved)
     async with deployment(engines=3) as platform:
-        task = asyncio.create_task(_read_stream(session, platform.gateways[0], "s"))
-        await wait_until(lambda: _started_runs(platform))
-        await asyncio.sleep(0.2)
-        leaving_server = next(
-            server for server in platform.engines.values() if server.runs
+        events, leaving_server = await _read_while_server_leaves(
+            session, platform, 1.5, lead_s=0.2
         )
-        reclaim = platform.reclaim(leaving_server.server_id, notice_s=1.5)
-        events, _ = await task
-        await reclaim
         assert unreachable
         assert leaving_server.server_id not in unreachable
         assert events == list(range(1, 101))
@@ -258,16 +224,9 @@
     route = evolve(STANDARD_ROUTES[0], is_resumable=True)
     async with deployment(engines=2, routes=(route,)) as platform:
         headers = {**LONG_PROMPT_HEADERS, "Last-Event-Id": "20"}
-        process = platform.gateways[0]
-        task = asyncio.create_task(_read_stream(session, process, "s", headers))
-        await wait_until(lambda: _started_runs(platform))
-        await asyncio.sleep(0.2)
-        leaving_server = next(
-            server for server in platform.engines.values() if server.runs
+        events, _ = await _read_while_server_leaves(
+            session, platform, 1.0, lead_s=0.2, prompt=headers
         )
-        reclaim = platform.reclaim(leaving_server.server_id, notice_s=1.0)
-        events, _ = await task
-        await reclaim
         assert events == list(range(21, 101))
 
 
@@ -405,11 +364,7 @@
     spec = EngineSpec(copy_s_per_token=0.0001, final_copy_overhead_s=0.3)
     async with deployment(engines=2, gateways=2, engine_spec=spec) as platform:
         response = await post_draft(session, platform.gateways[0], "s1")
-        await wait_until(lambda: _started_runs(platform))
-        await asyncio.sleep(0.1)
-        leaving_server = next(
-            server for server in platform.engines.values() if server.runs
-        )
+        leaving_server = await _server_of_the_first_run(platform, 0.1)
         reclaim = platform.reclaim(leaving_server.server_id, notice_s=1.0)
         await asyncio.sleep(0.3)
         response.close()
@@ -417,6 +372,26 @@
         await wait_until(lambda: not _servers_with_runs(platform), timeout_s=3.0)
 
 
+async def _read_while_server_leaves(
+    session, platform, notice_s, lead_s, prompt=LONG_PROMPT_HEADERS
+):
+    """Return the event IDs of a stream whose server leaves, and the server."""
+    process = platform.gateways[0]
+    task = asyncio.create_task(_read_stream(session, process, "s1", prompt))
+    leaving_server = await _server_of_the_first_run(platform, lead_s)
+    reclaim = platform.reclaim(leaving_server.server_id, notice_s=notice_s)
+    events, _ = await task
+    await reclaim
+    return events, leaving_server
+
+
+async def _server_of_the_first_run(platform, lead_s):
+    """Wait until a run has been active for some time, and return its server."""
+    await wait_until(lambda: _started_runs(platform))
+    await asyncio.sleep(lead_s)
+    return next(server for server in platform.engines.values() if server.runs)
+
+
 async def _read_status_and_ids(session, process, request_id, prompt):
     async with post_draft(session, process, request_id, prompt) as response:
         return response.status, await read_events(response)
