Believe a stated leaving after the removal of the server's entry as well

Cause: what a server stated in a reply was kept with the server, and dropped with it when its entry was removed and no request was left. If the entry came back, as after an outage of the store, the same process was served again. Evidence: test_stated_leaving_outlasts_ the_removal_of_the_entry was red before.

--- a/src/boragespring/fleet/state.py
+++ b/src/boragespring/fleet/state.py
@@ -143,7 +143,7 @@
         if server is None:
             return
         server.is_registered = False
-        self._departed.add(server.registration)
+        self._departed.add(server)
         self._leave(server, reason)
         self._remove_if_idle(server)
 
--- a/src/boragespring/fleet/tests/test_fleet.py
+++ b/src/boragespring/fleet/tests/test_fleet.py
@@ -156,3 +156,52 @@
         clock.now_s = server.suspected_until_s
     durations_s = [r.for_s for r in records if r.getMessage() == "server_suspected"]
     assert durations_s == [1.0, 2.0, 4.0, 8.0, 8.0, 8.0]
+
+
+def test_entry_that_is_older_than_the_last_one_is_ignored(fleet):
+    fleet.register(registration("one", sequence=9, is_leaving=True))
+    fleet.register(registration("one", sequence=4))
+    assert candidate_ids(fleet) == set()
+    fleet.register(registration("one", sequence=10))
+    assert candidate_ids(fleet) == {"one"}
+
+
+def test_old_entry_of_a_server_that_left_is_ignored_unless_it_writes_again(fleet):
+    fleet.register(registration("one", sequence=9))
+    fleet.unregister("one", "removed")
+    fleet.register(registration("one", sequence=9))
+    assert candidate_ids(fleet) == set()
+    fleet.register(registration("one", sequence=10))
+    assert candidate_ids(fleet) == {"one"}
+    fleet.unregister("one", "removed")
+    fleet.register(registration("one", sequence=1, started_at_ms=5))
+    assert candidate_ids(fleet) == {"one"}
+
+
+def test_stated_leaving_outlasts_the_removal_of_the_entry(fleet):
+    fleet.register(registration("one", sequence=9))
+    fleet.mark_leaving(fleet.find("one"), "its reply", is_final=True)
+    fleet.unregister("one", "removed")
+    fleet.register(registration("one", sequence=12))
+    assert candidate_ids(fleet) == set()
+    fleet.register(registration("one", sequence=1, started_at_ms=5))
+    assert candidate_ids(fleet) == {"one"}
+
+
+def test_snapshot_does_not_end_the_grace_period_of_missing_entries(fleet, clock):
+    fleet.register(registration("one"))
+    fleet.replace_all([], is_after_outage=True)
+    fleet.replace_all([], is_after_outage=False)
+    assert candidate_ids(fleet) == {"one"}
+    clock.now_s += FleetSettings().lapse_grace_s
+    fleet.expire_lapsed()
+    assert candidate_ids(fleet) == set()
+
+
+def test_pause_is_bounded_and_never_shortened(fleet, clock):
+    fleet.register(registration("one"))
+    server = fleet.find("one")
+    fleet.pause(server, 1e9)
+    assert server.paused_until_s == clock.now_s + FleetSettings().pause_max_s
+    fleet.pause(server, 1.0)
+    assert server.is_paused(clock.now_s + 2.0)
