--- a/src/boragespring/forwarding/messages.py
+++ b/src/boragespring/forwarding/messages.py
@@ -204,6 +204,12 @@
         """Whether the status code is in the range 2xx."""
         return 200 <= self.status < 300
 
+    def is_stream_for(self, request_id: str) -> bool:
+        """Return whether the body can be streamed to the caller of a request."""
+        is_unaltered = self.is_signed and not self.is_encoded
+        is_own = self.request_id in ("", request_id)
+        return self.is_success and not self.was_not_run and is_unaltered and is_own
+
 
 @frozen
 class RunCopy:
--- a/src/boragespring/forwarding/stream_relay.py
+++ b/src/boragespring/forwarding/stream_relay.py
@@ -181,7 +181,9 @@
             after_event=stream.last_event_id,
             status=head.status,
         )
-        if not head.is_success or head.was_not_run:
+        if not head.is_stream_for(job.request_id):
             reply.close()
-            raise ReplyLostError(f"status {head.status} where the run should go on")
+            raise ReplyLostError(
+                f"no stream of the run where it should go on, status {head.status}"
+            )
         return reply
--- a/src/boragespring/forwarding/streaming.py
+++ b/src/boragespring/forwarding/streaming.py
@@ -309,7 +309,7 @@
         self, job: Job, opened: _OpenedReply, caller: CallerReply
     ) -> StreamOutcome | Refusal:
         head = opened.reply.head
-        if not head.is_signed or head.is_encoded:
+        if not head.is_stream_for(job.request_id):
             opened.reply.close()
             self._context.fleet.remove_run(opened.server, job.request_id)
             return Refusal(RefusalReason.REPLY_LOST, was_not_run=False)
--- a/src/boragespring/platform/emulator/engine.py
+++ b/src/boragespring/platform/emulator/engine.py
@@ -108,6 +108,8 @@
     closes_before_event : int
         Number of the event before which the connection of the next stream that
         reaches it is closed; 0 for never.
+    is_resumed_signed : bool
+        Whether replies that continue a moved run have a signature.
     sends_unframed : bool
         Whether streams have neither a length nor chunks, so that they end when
         their connection is closed.
@@ -133,6 +135,7 @@
     refuses_copies: bool = False
     truncates_at_event: int = 0
     closes_before_event: int = 0
+    is_resumed_signed: bool = True
     sends_unframed: bool = False
     preemptions: int = 0
     retry_after: str = ""
@@ -295,6 +298,8 @@
         if not run.event_count:
             await asyncio.sleep(run.prompt_tokens / self.spec.prefill_tokens_per_s)
         response = self._create_response(run)
+        if names.COPY_SOURCE in request.headers and not self.is_resumed_signed:
+            del response.headers[names.SIGNATURE]
         await response.prepare(request)
         last_event_id = int(request.headers.get(names.LAST_EVENT_ID) or 0)
         # Events that were sent after the copy was taken are not repeated. Their
--- a/src/boragespring/platform/tests/test_forwarding_streams.py
+++ b/src/boragespring/platform/tests/test_forwarding_streams.py
@@ -72,6 +72,14 @@
         assert _started_runs(platform) == ["s1"]
 
 
+async def test_unsigned_reply_to_a_resumed_run_is_not_passed_on(session):
+    async with deployment(engines=2) as platform:
+        for engine in platform.engines.values():
+            engine.is_resumed_signed = False
+        with pytest.raises(aiohttp.ClientError):
+            await _read_while_server_leaves(session, platform, 0.8, lead_s=0.3)
+
+
 async def test_unframed_stream_that_ended_before_the_stop_is_complete(
     session, monkeypatch
 ):
