End an unframed stream only if its server still responds

Its engine had crashed: the end of a process closes its connections in order, here between two events, so that no bytes were left over.

The emulated engine closes its port first in a crash, as the end of a process does.

Change: after an orderly end of an unframed reply the server is asked whether it responds; if not, the stream has broken off. What a stop for a move closes is told apart in the same place, also when the stop met no server. Why it works: a server that ended its stream lives on; one that crashed does not accept connections. It costs one probe for each unframed stream and none for others.

--- a/src/boragespring/forwarding/messages.py
+++ b/src/boragespring/forwarding/messages.py
@@ -265,6 +265,10 @@
         """
         ...
 
+    async def is_responding(self, server: BackendServer) -> bool:
+        """Return whether a server still responds to a request without a run."""
+        ...
+
     async def fetch_report(self, server: BackendServer) -> ServerReport:
         """Fetch the load and state of a model server.
 
--- a/src/boragespring/forwarding/stream_relay.py
+++ b/src/boragespring/forwarding/stream_relay.py
@@ -72,21 +72,12 @@
         """
         while True:
             self._reply = reply
-            failure = ""
-            try:
-                await self._relay_events(reply)
-            except ReplyBrokenError as error:
-                failure = str(error)
-            if not failure and not self._may_be_stopped(reply):
+            failure = await self._relay_reply(reply)
+            if not failure:
                 return ""
             reply.close()
-            handover = await self._wait_handover()
-            if not failure and not self._stream.is_stopping:
-                # The run had ended before the server was asked to stop it.
-                return ""
-            handover = handover or self._fallback()
+            handover = await self._wait_handover() or self._fallback()
             if handover is None:
-                failure = failure or "the run was stopped and not moved"
                 self._context.fleet.record_failure(self._stream.server, failure)
                 return failure
             reply = await self._resume_or_return(handover)
@@ -98,6 +89,32 @@
         stream = self._stream
         self._context.fleet.remove_run(stream.server, stream.job.request_id)
 
+    async def _relay_reply(self, reply: ServerReply) -> str:
+        """Relay one reply; return why it does not end the stream, else empty."""
+        try:
+            await self._relay_events(reply)
+        except ReplyBrokenError as error:
+            return str(error)
+        if reply.head.framing is not ReplyFraming.CONNECTION:
+            return ""
+        return await self._check_unframed_end()
+
+    async def _check_unframed_end(self) -> str:
+        """Return why an orderly close does not end the stream, else empty.
+
+        A server also closes the connection of a run that it stops for a move, and the
+        connections of a server that crashes are closed in order as well. A length or
+        chunks would show that the stream is not complete.
+        """
+        stream = self._stream
+        if stream.is_stopping:
+            await self._wait_handover()
+        if stream.is_stopping:
+            return "the run was stopped for a move"
+        if not await self._context.calls.is_responding(stream.server):
+            return "the server closed the connection and is gone"
+        return ""
+
     async def _relay_events(self, reply: ServerReply) -> None:
         stream = self._stream
         stream.reply_framing = reply.head.framing
@@ -118,15 +135,6 @@
         if splitter.remainder:
             await self._caller.write(splitter.remainder)
 
-    def _may_be_stopped(self, reply: ServerReply) -> bool:
-        """Return whether an orderly end can be the stop of a run for its move.
-
-        The connection of a stopped run is closed without the end of the stream,
-        which only a length or chunks would show.
-        """
-        ends_with_connection = reply.head.framing is ReplyFraming.CONNECTION
-        return ends_with_connection and self._stream.is_stopping
-
     async def _wait_handover(self) -> Handover | None:
         """Return where a move lets the run continue, or None if there is none."""
         pending = self._stream.handover
--- a/src/boragespring/platform/emulator/engine.py
+++ b/src/boragespring/platform/emulator/engine.py
@@ -179,9 +179,11 @@
         self.peers[self.address] = self
 
     async def crash(self) -> None:
-        """Stop at once and abort all connections."""
+        """Stop at once and close all connections, as the end of a process does."""
         self.peers.pop(self.address, None)
         if self._runner is not None and self._runner.server is not None:
+            for site in list(self._runner.sites):
+                await site.stop()
             for connection in self._runner.server.connections:
                 if connection.transport is not None:
                     connection.transport.abort()
--- a/src/boragespring/platform/server_calls.py
+++ b/src/boragespring/platform/server_calls.py
@@ -142,6 +142,16 @@
             raise RunNotFoundError(f"no run {run_id} at {server.server_id}")
         raise CopyRefusedError(f"status {status}", copy_id)
 
+    async def is_responding(self, server: BackendServer) -> bool:
+        """Return whether a server responds, with whatever status."""
+        try:
+            await self._exchange(
+                server, "GET", "/report", None, self._settings.report_timeout_s
+            )
+        except (ServerUnreachableError, ReplyLostError):
+            return False
+        return True
+
     async def fetch_report(self, server: BackendServer) -> ServerReport:
         """Fetch a model server's load and state.
 
@@ -177,6 +187,20 @@
         body: object,
         timeout_s: float | None = None,
     ) -> tuple[int, dict[str, Any]]:
+        status, data = await self._exchange(server, method, path, body, timeout_s)
+        try:
+            return status, _parse_object(data)
+        except ValueError as error:
+            raise ReplyLostError(_describe(error)) from error
+
+    async def _exchange(
+        self,
+        server: BackendServer,
+        method: str,
+        path: str,
+        body: object,
+        timeout_s: float | None,
+    ) -> tuple[int, bytes]:
         timeout = aiohttp.ClientTimeout(
             total=timeout_s or self._settings.copy_timeout_s,
             sock_connect=self._settings.connect_timeout_s,
@@ -187,7 +211,7 @@
                 method, url, json=body, timeout=timeout
             ) as response:
                 self._pass_on_statement(server, response)
-                return response.status, _parse_object(await response.read())
+                return response.status, await response.read()
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise ServerUnreachableError(_describe(error)) from error
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
--- a/src/boragespring/platform/soak/tests/test_soak.py
+++ b/src/boragespring/platform/soak/tests/test_soak.py
@@ -19,8 +19,9 @@
 )
 
 #: In order: all gateways are killed after a key was removed; a rolling restart with
-#: catalog changes; a gateway is suspended while the store resets connections.
-SEEDS = (22, 44, 35)
+#: catalog changes; a gateway is suspended while the store resets connections; an engine
+#: crashes while streams have neither a length nor chunks.
+SEEDS = (22, 44, 35, 6027)
 NEVER_S = float("inf")
 
 
--- a/src/boragespring/platform/tests/test_forwarding_streams.py
+++ b/src/boragespring/platform/tests/test_forwarding_streams.py
@@ -219,6 +219,17 @@
         assert len(_started_runs(platform)) == 1
 
 
+async def test_unframed_stream_of_a_crashed_server_is_not_passed_as_complete(session):
+    async with deployment(engines=2) as platform:
+        for engine in platform.engines.values():
+            engine.sends_unframed = True
+        async with post_draft(session, platform.gateways[0], "s1") as response:
+            crashed = await _server_of_the_first_run(platform, 0.2)
+            await crashed.crash()
+            with pytest.raises(aiohttp.ClientError):
+                await read_events(response)
+
+
 @pytest.mark.parametrize(("is_resumable", "first"), [(True, 41), (False, 1)])
 async def test_caller_gets_the_rest_of_a_resumable_stream(session, is_resumable, first):
     route = evolve(STANDARD_ROUTES[0], is_resumable=is_resumable)
