--- a/src/boragespring/forwarding/stream_relay.py
+++ b/src/boragespring/forwarding/stream_relay.py
@@ -118,6 +118,7 @@
     async def _relay_events(self, reply: ServerReply) -> None:
         stream = self._stream
         stream.reply_framing = reply.head.framing
+        stream.unterminated_bytes = 0
         splitter = EventSplitter()
         async for chunk in reply.chunks():
             for event in splitter.feed(chunk):
--- a/src/boragespring/store/follower.py
+++ b/src/boragespring/store/follower.py
@@ -282,7 +282,8 @@
         async with aclosing(batches):
             async for batch in batches:
                 self._on_reply()
-                if batch.era != era:
+                # A snapshot from a peer can begin an era while the watch is pending.
+                if not era == batch.era == self._next_position.era:
                     raise StoreRestoredError(f"the store is in era {batch.era}")
                 after_position = self._next_position.previous
                 self._apply_new_events(batch)
--- a/src/boragespring/store/tests/test_follower.py
+++ b/src/boragespring/store/tests/test_follower.py
@@ -235,3 +235,9 @@
         follower.apply_peer_snapshot(restored, at(1, era=1), at(1, era=1), 5.0)
         assert listener.values == {"a/2": b"y"}
         assert listener.outage_flags[-1] is True
+        # A reply of the earlier era that arrives now confirms nothing.
+        before_s = follower.complete_at_s
+        put(keyspace, "a/9", b"late")
+        await asyncio.sleep(0.1)
+        assert listener.values == {"a/2": b"y"}
+        assert follower.complete_at_s == before_s
