Refuse what arrives after the last request of a stop has ended

Cause: drain() ends when no request is in progress; until the ports are closed, one that arrives on an open connection was still accepted, and interrupted by the close.

Change: once idle, the validator refuses everything as not run, in the same step of the event loop, so that no request falls between.

--- a/src/boragespring/gateway/daemon.py
+++ b/src/boragespring/gateway/daemon.py
@@ -155,6 +155,9 @@
         async with asyncio.timeout(self.settings.bounds.stop_grace_s - CLOSE_RESERVE_S):
             await asyncio.sleep(BALANCER_DELAY_S)
             await self.callers.wait_idle()
+        # A request can still arrive on an open connection before the ports are closed,
+        # which would interrupt it.
+        self.validator.stop_at(time.monotonic())
         self.log.lifecycle("drained", took_s=round(time.monotonic() - started_s, 3))
 
     async def stop(self) -> None:
--- a/src/boragespring/platform/tests/test_outages.py
+++ b/src/boragespring/platform/tests/test_outages.py
@@ -231,6 +231,15 @@
         assert platform.engines["engine-0"].started_run_ids == ["short"]
 
 
+async def test_request_that_arrives_after_the_drain_is_refused_as_not_run(session):
+    async with deployment(services=1) as platform:
+        process = platform.gateways[0]
+        await fetch_status(session, process, request_id="r1")
+        await process.gateway.drain()
+        assert await fetch_status(session, process, request_id="r2") == 503
+        assert platform.services["desk-0"].runs == ["r1"]
+
+
 async def test_stopped_gateway_leaves_no_presence(session):
     async with deployment(services=1, gateways=2) as platform:
         first, second = platform.gateways
