--- a/src/boragespring/gateway_peers/tests/test_store_loss.py
+++ b/src/boragespring/gateway_peers/tests/test_store_loss.py
@@ -36,7 +36,7 @@
 
 SEED = 26
 GATEWAYS, ZONES = 100, 5
-CATALOG_KEY = "op/config"
+CATALOG_KEY = "catalog"
 COPY_AGE_S = 5.0
 AWAY_S = 0.3
 WATCH_TIMEOUT_S = 2.0
