--- a/src/boragespring/platform/soak/schedule.py
+++ b/src/boragespring/platform/soak/schedule.py
@@ -56,6 +56,9 @@
     SoakFaultKind.SERVER_PAUSED,
 )
 ADDED_FAULTS_MAX = 2
+#: Seeds below this one have no faults of the added kinds, so that seeds that failed
+#: before still play what they played then.
+ADDED_SEED_MIN = 5000
 
 FAULTS_MIN, FAULTS_MAX = 2, 4
 START_MIN_S, START_MAX_S = 0.2, 3.0
@@ -74,6 +77,8 @@
     rng = random.Random(seed)
     first_kinds = [kind for kind in allowed if kind not in ADDED_KINDS]
     faults = _draw_faults(rng, first_kinds, rng.randint(FAULTS_MIN, FAULTS_MAX))
+    if seed < ADDED_SEED_MIN:
+        return faults
     added_rng = random.Random(f"added {seed}")
     added_kinds = [kind for kind in allowed if kind in ADDED_KINDS]
     count = added_rng.randint(0, ADDED_FAULTS_MAX)
