--- a/src/boragespring/composition/gateway.py
+++ b/src/boragespring/composition/gateway.py
@@ -19,6 +19,8 @@
 from boragespring.forwarding import (
     BufferedForwarder,
     BufferedSettings,
+    CrashDetector,
+    CrashDetectorSettings,
     Forwarder,
     ForwardingContext,
     MoveScheduler,
@@ -76,10 +78,12 @@
     validator = RequestValidator(catalog_holder, _validator_settings(settings.bounds))
     validator.has_other_gateway = load_sharing.has_serving_peer
     retry_budget = RetryBudget(_retry_budget_settings(settings.bounds), peers.count)
+    crash_detector = CrashDetector(calls, CrashDetectorSettings(), log)
     context = ForwardingContext(
         fleet=fleet,
         calls=calls,
         budget=retry_budget,
+        crash_detector=crash_detector,
         log=log,
         zone=settings.availability_zone,
         placement=PlacementSettings(),
--- a/src/boragespring/forwarding/__init__.py
+++ b/src/boragespring/forwarding/__init__.py
@@ -2,6 +2,10 @@
 
 from boragespring.forwarding.buffered import BufferedForwarder, BufferedSettings
 from boragespring.forwarding.context import ForwardingContext
+from boragespring.forwarding.crash_detection import (
+    CrashDetector,
+    CrashDetectorSettings,
+)
 from boragespring.forwarding.errors import (
     CopyRefusedError,
     ForwardingError,
@@ -39,6 +43,8 @@
     "CallerReply",
     "CallerRequest",
     "CopyRefusedError",
+    "CrashDetector",
+    "CrashDetectorSettings",
     "Forwarder",
     "ForwardingContext",
     "ForwardingError",
--- a/src/boragespring/forwarding/buffered.py
+++ b/src/boragespring/forwarding/buffered.py
@@ -175,6 +175,7 @@
         progress.excluded.add(server.server_id)
         now_s = time.monotonic()
         server.runs[job.request_id] = RunLoad(0, 0.0, now_s)
+        self._context.crash_detector.run_sent(server, job)
         try:
             async with asyncio.timeout_at(
                 self._attempt_deadline_s(job, progress, now_s)
@@ -183,6 +184,7 @@
         except TimeoutError:
             outcome = _ReplyLost("no reply in time")
         finally:
+            self._context.crash_detector.run_ended(server, job.request_id)
             self._context.fleet.remove_run(server, job.request_id)
         if isinstance(outcome, _NotRun):
             return outcome
@@ -202,10 +204,18 @@
             self._context.fleet.record_failure(server, str(error), is_certain=True)
             return _NotRun(str(error))
         except ReplyLostError as error:
+            self._context.crash_detector.run_broke(server, job.request_id)
             return _ReplyLost(str(error))
         try:
-            return await self._read_reply(job, server, reply)
+            outcome = await self._read_reply(job, server, reply)
+            self._context.crash_detector.run_ended(
+                server,
+                job.request_id,
+                is_sound=isinstance(outcome, BufferedReply) and reply.head.is_success,
+            )
+            return outcome
         except ReplyBrokenError as error:
+            self._context.crash_detector.run_broke(server, job.request_id)
             return _ReplyLost(str(error))
         finally:
             reply.close()
--- a/src/boragespring/forwarding/context.py
+++ b/src/boragespring/forwarding/context.py
@@ -8,6 +8,7 @@
 
 from boragespring.decisions import DecisionLog
 from boragespring.fleet import Fleet
+from boragespring.forwarding.crash_detection import CrashDetector
 from boragespring.forwarding.jobs import Job
 from boragespring.forwarding.messages import BackendCalls
 from boragespring.forwarding.pauses import first_return_s, spread_return_s
@@ -34,6 +35,8 @@
         Client for the backend servers.
     budget : RetryBudget
         Limit on the number of retries.
+    crash_detector : CrashDetector
+        Detects crashes of the servers on which runs are starting.
     log : DecisionLog
         Log of forwarding decisions.
     zone : str
@@ -49,6 +52,7 @@
     fleet: Fleet
     calls: BackendCalls
     budget: RetryBudget
+    crash_detector: CrashDetector
     log: DecisionLog
     zone: str
     placement: PlacementSettings
--- /dev/null
+++ b/src/boragespring/forwarding/crash_detection.py
@@ -0,0 +1,241 @@
+"""Tell crashes of backend servers from other ends of replies.
+
+The connections of a crashed server are closed, and it refuses new ones. A server that
+is cut off does neither, and one that resets a single connection accepts others. The
+cause of a crash is searched among the runs that were starting on the server.
+"""
+
+import asyncio
+import time
+from collections.abc import Callable
+from typing import Protocol
+
+from attrs import define, field, frozen
+
+from boragespring.decisions import DecisionLog
+from boragespring.fleet import BackendServer
+from boragespring.forwarding.jobs import Job
+from boragespring.quarantine import Crash, Prompt, ServerProcess
+
+__all__ = ["CrashDetector", "CrashDetectorSettings", "RefusalCheck"]
+
+#: Called with each crash that is detected.
+CrashHook = Callable[[Crash], None]
+#: Called with the service, the prompt and the monotonic time in seconds at which the
+#: answer began of each run that proved to be sound.
+SoundHook = Callable[[str, Prompt, float], None]
+
+
+class RefusalCheck(Protocol):
+    """Client that checks whether a server still accepts connections."""
+
+    async def is_refusing(self, server: BackendServer) -> bool:
+        """Return whether the server's address refuses connections."""
+        ...
+
+
+@frozen
+class CrashDetectorSettings:
+    """Limits for the attribution of crashes.
+
+    Parameters
+    ----------
+    sound_events : int
+        Number of events after which a run is no longer starting.
+    gather_s : float
+        Time in seconds for which further connections of the same server may break
+        before it is checked.
+    prompts_max : int
+        Maximum number of prompts reported for one crash.
+    """
+
+    sound_events: int = 3
+    gather_s: float = 0.02
+    prompts_max: int = 32
+
+
+@define(eq=False)
+class _StartingRun:
+    """Run that has not proved to be sound on its server."""
+
+    service: str
+    prompt: Prompt
+    has_reply: bool = False
+    events: int = 0
+    began_at_s: float = float("inf")
+
+
+@define(eq=False)
+class _ServerRuns:
+    """Starting runs of this gateway on one server process, by request identifier."""
+
+    starting: dict[str, _StartingRun] = field(factory=dict)
+    broken: dict[str, _StartingRun] = field(factory=dict)
+    check: "asyncio.Task[bool] | None" = None
+
+
+class CrashDetector:
+    """Track starting runs and detect the crashes of their servers.
+
+    Only runs whose prompt has parts that other requests may share are tracked.
+
+    Parameters
+    ----------
+    calls : RefusalCheck
+        Client for the backend servers.
+    settings : CrashDetectorSettings
+        Limits.
+    log : DecisionLog
+        Log of crashes.
+    clock : callable, default=time.monotonic
+        Source of time in seconds.
+    """
+
+    def __init__(
+        self,
+        calls: RefusalCheck,
+        settings: CrashDetectorSettings,
+        log: DecisionLog,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._calls = calls
+        self._settings = settings
+        self._log = log
+        self._clock = clock
+        self._runs: dict[ServerProcess, _ServerRuns] = {}
+        self.crash_hooks: list[CrashHook] = []
+        self.sound_hooks: list[SoundHook] = []
+
+    def run_sent(self, server: BackendServer, job: Job) -> None:
+        """Start tracking a run that is sent to a server."""
+        prompt = job.shared_prompt
+        if not prompt:
+            return
+        runs = self._runs.setdefault(ServerProcess.of(server), _ServerRuns())
+        runs.starting[job.request_id] = _StartingRun(job.service.name, prompt)
+
+    def run_replied(self, server: BackendServer, run_id: str) -> None:
+        """Record that the head of the reply to a run has arrived."""
+        run = self._find(ServerProcess.of(server), run_id)
+        if run is not None:
+            run.has_reply = True
+
+    def run_wrote(self, server: BackendServer, run_id: str) -> None:
+        """Count an event of a run; after a few of them the run is sound."""
+        process = ServerProcess.of(server)
+        run = self._find(process, run_id)
+        if run is None:
+            return
+        run.events += 1
+        run.began_at_s = min(run.began_at_s, self._clock())
+        if run.events >= self._settings.sound_events:
+            self.run_ended(server, run_id, is_sound=True)
+
+    def run_ended(
+        self, server: BackendServer, run_id: str, *, is_sound: bool = False
+    ) -> None:
+        """Stop tracking a run that ended otherwise than by a broken connection.
+
+        Parameters
+        ----------
+        server : BackendServer
+            Server of the run.
+        run_id : str
+            Identifier of its request.
+        is_sound : bool, default=False
+            Whether the server wrote an answer and is still running.
+        """
+        run = self._remove(ServerProcess.of(server), run_id)
+        if run is None or not is_sound:
+            return
+        began_at_s = min(run.began_at_s, self._clock())
+        for hook in self.sound_hooks:
+            hook(run.service, run.prompt, began_at_s)
+
+    def run_broke(self, server: BackendServer, run_id: str) -> None:
+        """Check the server of a run whose connection broke.
+
+        A server that is leaving closes connections without a crash.
+        """
+        process = ServerProcess.of(server)
+        runs = self._runs.get(process)
+        if runs is None:
+            return
+        run = runs.starting.pop(run_id, None)
+        if run is not None and not server.is_leaving:
+            runs.broken[run_id] = run
+        if runs.broken and runs.check is None:
+            runs.check = asyncio.create_task(self._check(server, process, runs))
+        self._drop_if_idle(process, runs)
+
+    async def has_crashed(self, server: BackendServer) -> bool:
+        """Wait for the check of a server that is under way, and return its result."""
+        runs = self._runs.get(ServerProcess.of(server))
+        if runs is None or runs.check is None:
+            return False
+        return await asyncio.shield(runs.check)
+
+    async def _check(
+        self, server: BackendServer, process: ServerProcess, runs: _ServerRuns
+    ) -> bool:
+        try:
+            await asyncio.sleep(self._settings.gather_s)
+            if not await self._calls.is_refusing(server) or server.is_leaving:
+                return False
+            self._report(server, process, {**runs.broken, **runs.starting})
+            return True
+        finally:
+            runs.check = None
+            runs.broken.clear()
+            self._drop_if_idle(process, runs)
+
+    def _report(
+        self,
+        server: BackendServer,
+        process: ServerProcess,
+        suspects: dict[str, _StartingRun],
+    ) -> None:
+        """Report a crash; runs with a reply go first where not all are kept."""
+        listed = sorted(
+            suspects.items(), key=lambda item: item[1].has_reply, reverse=True
+        )[: self._settings.prompts_max]
+        self._log.state_change(
+            "server_crashed",
+            server=server.server_id,
+            service=server.registration.service,
+            starting_runs=[
+                {
+                    "request_id": run_id,
+                    "has_reply": run.has_reply,
+                    "parts": sorted(run.prompt),
+                }
+                for run_id, run in listed
+            ],
+        )
+        crash = Crash(
+            process=process,
+            service=server.registration.service,
+            at_s=self._clock(),
+            prompts=frozenset(run.prompt for _, run in listed if run.has_reply),
+            silent_prompts=frozenset(
+                run.prompt for _, run in listed if not run.has_reply
+            ),
+        )
+        for hook in self.crash_hooks:
+            hook(crash)
+
+    def _find(self, process: ServerProcess, run_id: str) -> _StartingRun | None:
+        runs = self._runs.get(process)
+        return runs.starting.get(run_id) if runs is not None else None
+
+    def _remove(self, process: ServerProcess, run_id: str) -> _StartingRun | None:
+        runs = self._runs.get(process)
+        if runs is None:
+            return None
+        run = runs.starting.pop(run_id, None)
+        self._drop_if_idle(process, runs)
+        return run
+
+    def _drop_if_idle(self, process: ServerProcess, runs: _ServerRuns) -> None:
+        if not runs.starting and not runs.broken and runs.check is None:
+            self._runs.pop(process, None)
--- a/src/boragespring/forwarding/jobs.py
+++ b/src/boragespring/forwarding/jobs.py
@@ -20,10 +20,12 @@
     RefusalReason,
     ResumePoint,
 )
+from boragespring.quarantine import Prompt
 
 __all__ = ["Job", "RequestValidator", "RequestValidatorSettings"]
 
 URGENCY_MAX = 9
+NO_PROMPT: Prompt = frozenset()
 
 
 @frozen
@@ -103,6 +105,12 @@
         """Identifier of the request."""
         return self.request.request_id
 
+    @property
+    def shared_prompt(self) -> Prompt:
+        """Parts of the prompt that other requests may share; empty if none."""
+        prompt = self.request.prompt
+        return prompt.shared_part_ids if prompt is not None else NO_PROMPT
+
     @property
     def last_event_id(self) -> str:
         """Identifier of the event after which the stream starts; empty for all."""
--- a/src/boragespring/forwarding/messages.py
+++ b/src/boragespring/forwarding/messages.py
@@ -28,6 +28,9 @@
 
 Headers = tuple[tuple[str, str], ...]
 
+#: Maximum number of parts of one prompt that are compared with other prompts.
+SHARED_PARTS_MAX = 64
+
 
 @frozen
 class PromptPart:
@@ -67,6 +70,12 @@
     output_hint_tokens: int | None = None
     parts: tuple[PromptPart, ...] = ()
 
+    @property
+    def shared_part_ids(self) -> frozenset[str]:
+        """Identifiers of the parts that other requests may have as well."""
+        shared = self.parts[:-1][:SHARED_PARTS_MAX]
+        return frozenset(part.part_id for part in shared)
+
     @property
     def output_tokens(self) -> float:
         """Expected length of the answer in tokens."""
@@ -269,6 +278,10 @@
         """Return whether a server still responds to a request without a run."""
         ...
 
+    async def is_refusing(self, server: BackendServer) -> bool:
+        """Return whether the address of a server refuses connections."""
+        ...
+
     async def fetch_report(self, server: BackendServer) -> ServerReport:
         """Fetch the load and state of a model server.
 
--- a/src/boragespring/forwarding/stream_relay.py
+++ b/src/boragespring/forwarding/stream_relay.py
@@ -73,12 +73,19 @@
         while True:
             self._reply = reply
             failure = await self._relay_reply(reply)
+            stream = self._stream
             if not failure:
+                self._context.crash_detector.run_ended(
+                    stream.server, stream.job.request_id, is_sound=True
+                )
                 return ""
             reply.close()
             handover = await self._wait_handover() or self._fallback()
             if handover is None:
-                self._context.fleet.record_failure(self._stream.server, failure)
+                self._context.crash_detector.run_broke(
+                    stream.server, stream.job.request_id
+                )
+                self._context.fleet.record_failure(stream.server, failure)
                 return failure
             reply = await self._resume_or_return(handover)
 
@@ -87,6 +94,7 @@
         if self._reply is not None:
             self._reply.close()
         stream = self._stream
+        self._context.crash_detector.run_ended(stream.server, stream.job.request_id)
         self._context.fleet.remove_run(stream.server, stream.job.request_id)
 
     async def _relay_reply(self, reply: ServerReply) -> str:
@@ -122,6 +130,9 @@
         splitter = EventSplitter()
         async for chunk in reply.chunks():
             for event in splitter.feed(chunk):
+                self._context.crash_detector.run_wrote(
+                    stream.server, stream.job.request_id
+                )
                 if stream.record_event(event.event_id):
                     await self._caller.write(event.data)
             stream.unterminated_bytes = len(splitter.remainder)
@@ -175,12 +186,19 @@
         resume_point = ResumePoint(
             handover.source.address, handover.copy_id, stream.last_event_id
         )
+        self._context.crash_detector.run_ended(stream.server, job.request_id)
         self._context.fleet.remove_run(stream.server, job.request_id)
         stream.record_move(handover.target)
         handover.target.runs[job.request_id] = stream.load
-        reply = await self._context.calls.send(
-            handover.target, job.attempt(resume_point)
-        )
+        self._context.crash_detector.run_sent(handover.target, job)
+        try:
+            reply = await self._context.calls.send(
+                handover.target, job.attempt(resume_point)
+            )
+        except ReplyLostError:
+            self._context.crash_detector.run_broke(handover.target, job.request_id)
+            raise
+        self._context.crash_detector.run_replied(handover.target, job.request_id)
         head = reply.head
         self._context.log.request(
             "resumed",
--- a/src/boragespring/forwarding/streaming.py
+++ b/src/boragespring/forwarding/streaming.py
@@ -223,6 +223,7 @@
                 memory_tokens=round(server.load.memory_tokens),
                 prefill_tokens=round(server.load.prefill_tokens),
                 catalog_version=job.catalog_version,
+                shared_parts=sorted(job.shared_prompt),
             )
         return server
 
@@ -261,6 +262,7 @@
         prompt = job.request.prompt or _NO_PROMPT
         load = RunLoad(prompt.prompt_tokens, prompt.output_tokens, time.monotonic())
         server.runs[job.request_id] = load
+        self._context.crash_detector.run_sent(server, job)
         self._context.notify_loads()
         is_open = False
         try:
@@ -274,15 +276,18 @@
                 self._context.fleet.record_failure(server, "reply to another request")
                 return Refusal(RefusalReason.REPLY_LOST, was_not_run=False)
             is_open = True
+            self._context.crash_detector.run_replied(server, job.request_id)
             return _OpenedReply(server, load, reply)
         except ServerUnreachableError as error:
             self._context.fleet.record_failure(server, str(error), is_certain=True)
             return f"unreachable: {error}"
         except ReplyLostError as error:
+            self._context.crash_detector.run_broke(server, job.request_id)
             self._context.fleet.record_failure(server, str(error))
             return Refusal(RefusalReason.REPLY_LOST, was_not_run=False)
         finally:
             if not is_open:
+                self._context.crash_detector.run_ended(server, job.request_id)
                 self._context.fleet.remove_run(server, job.request_id)
 
     async def _forward_error_reply(
@@ -300,6 +305,7 @@
             return Refusal(RefusalReason.REPLY_LOST, was_not_run=False)
         finally:
             opened.reply.close()
+            self._context.crash_detector.run_ended(opened.server, job.request_id)
             self._context.fleet.remove_run(opened.server, job.request_id)
         await caller.send_buffered(opened.reply.head, bytes(body))
         reason = f"status {opened.reply.head.status}"
@@ -311,6 +317,7 @@
         head = opened.reply.head
         if not head.is_stream_for(job.request_id):
             opened.reply.close()
+            self._context.crash_detector.run_ended(opened.server, job.request_id)
             self._context.fleet.remove_run(opened.server, job.request_id)
             return Refusal(RefusalReason.REPLY_LOST, was_not_run=False)
         stream = RunningStream(
--- a/src/boragespring/platform/emulator/deployment.py
+++ b/src/boragespring/platform/emulator/deployment.py
@@ -119,6 +119,12 @@
         Speed and size of the engines that are added.
     engines, services : dict
         Running servers by name.
+    crashing_parts : set of str
+        Identifiers of the prompt parts with which a run crashes its engine.
+    crash_times_s : list of float
+        Monotonic times in seconds of the crashes that runs caused.
+    restart_delay_s : float
+        Time in seconds after which such an engine is replaced by a new one.
     gateways : list of GatewayProcess
         Running gateways.
     """
@@ -134,7 +140,11 @@
     engine_spec: EngineSpec = EngineSpec()
     engines: dict[str, EmulatedEngine] = field(factory=dict)
     services: dict[str, EmulatedService] = field(factory=dict)
+    crashing_parts: set[str] = field(factory=set)
+    crash_times_s: list[float] = field(factory=list)
+    restart_delay_s: float = 0.5
     gateways: list[GatewayProcess] = field(factory=list)
+    _restarts: "set[asyncio.Task[None]]" = field(factory=set)
     _engines_by_address: dict[str, EmulatedEngine] = field(factory=dict)
     _sequences: "itertools.count[int]" = field(factory=lambda: itertools.count(1))
 
@@ -149,6 +159,8 @@
 
     async def stop(self) -> None:
         """Stop all gateways, servers and the store."""
+        for restart in self._restarts:
+            restart.cancel()
         for process in self.gateways:
             await process.gateway.stop()
         for engine in list(self.engines.values()):
@@ -167,12 +179,30 @@
 
     async def add_engine(self, name: str, zone: str = "zone-a") -> EmulatedEngine:
         """Start a model engine and register it."""
-        engine = EmulatedEngine(name, self.engine_spec, self._engines_by_address)
+        engine = EmulatedEngine(
+            name,
+            self.engine_spec,
+            self._engines_by_address,
+            crashing_parts=self.crashing_parts,
+            crash_hook=self._on_crash,
+        )
         await engine.start()
         self.engines[name] = engine
         self.register(name, MODEL_SERVICE, engine.port, engine.spec.slots, zone)
         return engine
 
+    def _on_crash(self, engine: EmulatedEngine) -> None:
+        self.crash_times_s.append(time.monotonic())
+        restart = asyncio.create_task(self._replace(engine))
+        self._restarts.add(restart)
+        restart.add_done_callback(self._restarts.discard)
+
+    async def _replace(self, crashed: EmulatedEngine) -> None:
+        """Replace a crashed engine by a new one with another identity."""
+        await asyncio.sleep(self.restart_delay_s)
+        self.store.remove(names.REGISTRATION_PREFIX + crashed.server_id)
+        await self.add_engine(f"{crashed.server_id}.{len(self.crash_times_s)}")
+
     async def add_service(self, name: str, zone: str = "zone-a") -> EmulatedService:
         """Start a backend server of the plain service and register it."""
         service = EmulatedService(name)
--- a/src/boragespring/platform/emulator/engine.py
+++ b/src/boragespring/platform/emulator/engine.py
@@ -4,6 +4,7 @@
 import itertools
 import json
 import time
+from collections.abc import Callable
 
 from aiohttp import web
 from attrs import define, evolve, field, frozen
@@ -13,6 +14,8 @@
 __all__ = ["EmulatedEngine", "EngineSpec"]
 
 _LOOPBACK = "127.0.0.1"
+#: Time within which a crash ends all requests of an engine.
+_CRASH_TIMEOUT_S = 5.0
 
 
 @frozen
@@ -98,6 +101,8 @@
         Copies of other engines' runs by request ID.
     received_headers : list of dict
         Headers of all generation requests, with names in lower case.
+    received_at_s : list of float
+        Monotonic times in seconds at which these requests arrived.
     started_run_ids : list of str
         Request IDs of the runs that started here, not of those moved here.
     refuses_copies : bool
@@ -113,6 +118,12 @@
     sends_unframed : bool
         Whether streams have neither a length nor chunks, so that they end when
         their connection is closed.
+    crashing_parts : set of str
+        Identifiers of the prompt parts with which a run crashes the server as it
+        begins its answer; shared by all engines of a deployment. The last part of a
+        prompt never does.
+    crash_hook : callable or None
+        Called after a run has crashed the server.
     preemptions : int
         Number of preemptions so far.
     retry_after : str
@@ -131,12 +142,15 @@
     runs: dict[str, _Run] = field(factory=dict)
     copies: dict[str, _Copy] = field(factory=dict)
     received_headers: list[dict[str, str]] = field(factory=list)
+    received_at_s: list[float] = field(factory=list)
     started_run_ids: list[str] = field(factory=list)
     refuses_copies: bool = False
     truncates_at_event: int = 0
     closes_before_event: int = 0
     is_resumed_signed: bool = True
     sends_unframed: bool = False
+    crashing_parts: set[str] = field(factory=set)
+    crash_hook: "Callable[[EmulatedEngine], None] | None" = None
     preemptions: int = 0
     retry_after: str = ""
     states_leaving: bool = False
@@ -145,6 +159,7 @@
     _copy_numbers: "itertools.count[int]" = field(factory=lambda: itertools.count(1))
     _transfer_lock: asyncio.Lock = field(factory=asyncio.Lock)
     _runner: web.AppRunner | None = None
+    _crash_task: "asyncio.Task[None] | None" = None
 
     @property
     def address(self) -> str:
@@ -192,6 +207,11 @@
 
     stop = crash
 
+    async def _crash_by_run(self) -> None:
+        await self.crash()
+        if self.crash_hook is not None:
+            self.crash_hook(self)
+
     async def _add_leaving_header(
         self, _: web.Request, response: web.StreamResponse
     ) -> None:
@@ -258,6 +278,7 @@
     async def _handle_generate(self, request: web.Request) -> web.StreamResponse:
         headers = {name.lower(): value for name, value in request.headers.items()}
         self.received_headers.append(headers)
+        self.received_at_s.append(time.monotonic())
         run_id = headers[names.REQUEST_ID.lower()]
         if headers.get(names.EXPECTED_SERVER.lower()) != self.server_id:
             return web.Response(status=421)
@@ -304,6 +325,10 @@
             del response.headers[names.SIGNATURE]
         await response.prepare(request)
         last_event_id = int(request.headers.get(names.LAST_EVENT_ID) or 0)
+        if self.crashing_parts.intersection(_shared_parts(request)):
+            # The handler of this request ends with all others.
+            self._crash_task = asyncio.create_task(self._crash_by_run())
+            await asyncio.sleep(_CRASH_TIMEOUT_S)
         # Events that were sent after the copy was taken are not repeated. Their
         # tokens count as recomputed here.
         run.event_count = max(run.event_count, last_event_id)
@@ -365,6 +390,12 @@
         return running[-1] if len(running) > 1 else None
 
 
+def _shared_parts(request: web.Request) -> list[str]:
+    """Return the identifiers of all parts of the prompt but the last one."""
+    parts = request.headers.get(names.PROMPT_PARTS, "").split(",")
+    return [part.partition(":")[0] for part in parts[:-1]]
+
+
 def _encode_event(event_number: int) -> bytes:
     return f"id: {event_number}\ndata: {json.dumps({'n': event_number})}\n\n".encode()
 
--- a/src/boragespring/platform/server_calls.py
+++ b/src/boragespring/platform/server_calls.py
@@ -1,5 +1,6 @@
 """HTTP calls to backend servers, each on a connection of its own."""
 
+import errno
 import json
 import math
 import time
@@ -121,7 +122,7 @@
                 ),
             )
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
-            raise ServerUnreachableError(_describe(error)) from error
+            raise _unreachable(error) from error
         except (aiohttp.ClientError, OSError, ValueError) as error:
             raise ReplyLostError(_describe(error)) from error
         self._pass_on_statement(server, response)
@@ -152,6 +153,18 @@
             return False
         return True
 
+    async def is_refusing(self, server: BackendServer) -> bool:
+        """Return whether the address of a server refuses connections."""
+        try:
+            await self._exchange(
+                server, "GET", "/report", None, self._settings.report_timeout_s
+            )
+        except ServerUnreachableError as error:
+            return error.is_refused
+        except ReplyLostError:
+            return False
+        return False
+
     async def fetch_report(self, server: BackendServer) -> ServerReport:
         """Fetch a model server's load and state.
 
@@ -213,7 +226,7 @@
                 self._pass_on_statement(server, response)
                 return response.status, await response.read()
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
-            raise ServerUnreachableError(_describe(error)) from error
+            raise _unreachable(error) from error
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
             raise ReplyLostError(_describe(error)) from error
 
@@ -310,5 +323,15 @@
     return body if isinstance(body, dict) else {}
 
 
+def _unreachable(
+    error: aiohttp.ClientConnectorError | aiohttp.ConnectionTimeoutError,
+) -> ServerUnreachableError:
+    is_refused = (
+        isinstance(error, aiohttp.ClientConnectorError)
+        and error.os_error.errno == errno.ECONNREFUSED
+    )
+    return ServerUnreachableError(_describe(error), is_refused)
+
+
 def _describe(error: BaseException) -> str:
     return f"{type(error).__name__} {error}".strip()
