--- a/src/boragespring/platform/tests/test_crashing_prompts.py
+++ b/src/boragespring/platform/tests/test_crashing_prompts.py
@@ -1,6 +1,7 @@
 """Requests with a part in their prompts that crashes the engines."""
 
 import asyncio
+import time
 
 import aiohttp
 
@@ -68,3 +69,55 @@
         assert await send(session, process, "r1", "first", "rare") == 0
         await asyncio.sleep(0.2)
         assert not log_records(process, "server_crashed")
+
+
+#: Time after a fact by which all gateways in touch must act on it.
+CONTACT_S = 3.0
+CRASHES_TO_STOP_AFTER = 5
+SENT_ON_MAX = 3
+
+
+async def send_crashing_requests(session, platform, duration_s):
+    """Send requests with the part to all gateways in turn, no two alike."""
+    tasks = []
+    end_s = time.monotonic() + duration_s
+    while time.monotonic() < end_s:
+        number = len(tasks)
+        process = platform.gateways[number % len(platform.gateways)]
+        parts = (f"first{number % 2}", BAD) if number % 3 else (BAD, f"next{number}")
+        tasks.append(
+            asyncio.create_task(send(session, process, f"bad-{number}", *parts))
+        )
+        await asyncio.sleep(0.15)
+    return await asyncio.gather(*tasks)
+
+
+def arrivals_with(platform, part, after_s):
+    return sum(
+        at_s > after_s and f"{part}:" in headers[names.PROMPT_PARTS.lower()]
+        for engine in platform.engines.values()
+        for at_s, headers in zip(
+            engine.received_at_s, engine.received_headers, strict=True
+        )
+    )
+
+
+def sent_on_bound_s(platform):
+    """Return the time after which requests with the part must not be sent on."""
+    crash_times_s = sorted(platform.crash_times_s)
+    if len(crash_times_s) < CRASHES_TO_STOP_AFTER:
+        return float("inf")
+    return crash_times_s[CRASHES_TO_STOP_AFTER - 1] + CONTACT_S
+
+
+async def test_part_under_which_five_servers_crashed_is_sent_on_no_more(session):
+    async with deployment(engines=6, gateways=3) as platform:
+        platform.crashing_parts.add(BAD)
+        await send_crashing_requests(session, platform, CONTACT_S + 5.0)
+        bound_s = sent_on_bound_s(platform)
+        assert arrivals_with(platform, BAD, bound_s) <= SENT_ON_MAX
+        statuses = [
+            await send(session, platform.gateways[number % 3], f"s{number}", "first1")
+            for number in range(6)
+        ]
+        assert statuses == [200] * 6
