--- a/src/boragespring/composition/gateway.py
+++ b/src/boragespring/composition/gateway.py
@@ -37,6 +37,7 @@
 from boragespring.forwarding.probing import ProbeSettings, ServerProber
 from boragespring.gateway import Gateway
 from boragespring.gateway_peers import (
+    CrashSharing,
     EvacuationSharing,
     GatewayLocation,
     LoadSharing,
@@ -48,6 +49,12 @@
 from boragespring.platform.http_server import GatewayHttpServer
 from boragespring.platform.readiness import ReadinessServer
 from boragespring.platform.server_calls import HttpServerCalls, ServerCallSettings
+from boragespring.quarantine import (
+    CrashEvidence,
+    PromptQuarantine,
+    QuarantineSettings,
+)
+from boragespring.rendezvous import is_responsible
 from boragespring.settings.gateway import (
     GatewayBounds,
     GatewaySettings,
@@ -79,11 +86,13 @@
     validator.has_other_gateway = load_sharing.has_serving_peer
     retry_budget = RetryBudget(_retry_budget_settings(settings.bounds), peers.count)
     crash_detector = CrashDetector(calls, CrashDetectorSettings(), log)
+    quarantine = _build_quarantine(crash_detector, peers, log)
     context = ForwardingContext(
         fleet=fleet,
         calls=calls,
         budget=retry_budget,
         crash_detector=crash_detector,
+        quarantine=quarantine,
         log=log,
         zone=settings.availability_zone,
         placement=PlacementSettings(),
@@ -134,6 +143,7 @@
         loops=(*store_sync.loops, prober.run, load_sharing.run),
         maintenance=(
             fleet.expire_lapsed,
+            quarantine.evidence.expire,
             load_sharing.expire_outdated,
             peers.network.refresh,
         ),
@@ -148,6 +158,11 @@
         log=log,
     )
     _add_gauges(metrics, catalog_holder, fleet, store_sync.snapshot_age_s, peers)
+    metrics.add_gauge(
+        "quarantined_prompts",
+        "Parts of prompts that are held to crash servers.",
+        lambda: float(len(quarantine.culprits)),
+    )
     gateway.listeners += [
         ReadinessServer(settings.readiness, gateway.why_not_ready),
         HttpServer(settings.metrics, _admin_app(registry, gateway)),
@@ -155,6 +170,22 @@
     return gateway
 
 
+def _build_quarantine(
+    crash_detector: CrashDetector, peers: GatewayPeers, log: DecisionLog
+) -> PromptQuarantine:
+    network = peers.network
+    quarantine = PromptQuarantine(
+        CrashEvidence(),
+        QuarantineSettings(),
+        lambda key: is_responsible(key, network.local_name, network.known_names()),
+        log,
+    )
+    crash_detector.crash_hooks.append(quarantine.record_crash)
+    crash_detector.sound_hooks.append(quarantine.record_sound_run)
+    CrashSharing(quarantine, peers.dispatcher, network)
+    return quarantine
+
+
 def _build_forwarder(
     context: ForwardingContext,
     validator: RequestValidator,
--- a/src/boragespring/forwarding/buffered.py
+++ b/src/boragespring/forwarding/buffered.py
@@ -142,6 +142,9 @@
                 job.service.name
             ):
                 return self._give_up(job, progress, RefusalReason.OVERLOADED)
+            refusal = self._context.refuse_prompt(job)
+            if refusal is not None:
+                return self._give_up(job, progress, refusal.reason)
             progress.sends += 1
             outcome = await self._send(job, server, progress)
             if isinstance(outcome, BufferedReply) and outcome.head.status < 500:
@@ -159,6 +162,8 @@
             )
             if not self._can_retry(job, progress):
                 return self._give_up(job, progress, RefusalReason.REPLY_LOST)
+            if await self._crashes_servers(job, server):
+                return self._give_up(job, progress, RefusalReason.REPLY_LOST)
 
     def _choose(self, job: Job, progress: _Progress) -> BackendServer | None:
         view = PlacementView(
@@ -253,6 +258,11 @@
             return False
         return progress.runs < job.route.attempts_max
 
+    async def _crashes_servers(self, job: Job, server: BackendServer) -> bool:
+        """Return whether the job may have crashed the server, and others before."""
+        has_crashed = await self._context.crash_detector.has_crashed(server)
+        return has_crashed and self._context.must_not_repeat(job)
+
     def _give_up(
         self, job: Job, progress: _Progress, reason: RefusalReason
     ) -> BufferedReply | Refusal:
--- a/src/boragespring/forwarding/context.py
+++ b/src/boragespring/forwarding/context.py
@@ -7,14 +7,15 @@
 from attrs import frozen
 
 from boragespring.decisions import DecisionLog
-from boragespring.fleet import Fleet
+from boragespring.fleet import BackendServer, Fleet
 from boragespring.forwarding.crash_detection import CrashDetector
 from boragespring.forwarding.jobs import Job
-from boragespring.forwarding.messages import BackendCalls
+from boragespring.forwarding.messages import BackendCalls, Refusal, RefusalReason
 from boragespring.forwarding.pauses import first_return_s, spread_return_s
 from boragespring.forwarding.placement import PlacementSettings
 from boragespring.forwarding.retry_budget import RetryBudget
 from boragespring.metrics.gateway import GatewayMetrics
+from boragespring.quarantine import PromptQuarantine
 
 __all__ = ["ForwardingContext"]
 
@@ -37,6 +38,8 @@
         Limit on the number of retries.
     crash_detector : CrashDetector
         Detects crashes of the servers on which runs are starting.
+    quarantine : PromptQuarantine
+        Decides which requests are not sent as their prompts crash servers.
     log : DecisionLog
         Log of forwarding decisions.
     zone : str
@@ -53,12 +56,31 @@
     calls: BackendCalls
     budget: RetryBudget
     crash_detector: CrashDetector
+    quarantine: PromptQuarantine
     log: DecisionLog
     zone: str
     placement: PlacementSettings
     metrics: GatewayMetrics
     notify_loads: Callable[[], None] = _notify_nobody
 
+    def refuse_prompt(self, job: Job) -> Refusal | None:
+        """Return a refusal if the prompt of a job is held to crash servers."""
+        decision = self.quarantine.check(
+            job.service.name, job.shared_prompt, job.request_id
+        )
+        if decision is None:
+            return None
+        return Refusal(RefusalReason.QUARANTINED, True, decision.trial_in_s)
+
+    def must_not_repeat(self, job: Job) -> bool:
+        """Return whether a run of a job may crash the next server as well."""
+        return self.quarantine.is_suspected(job.service.name, job.shared_prompt)
+
+    def must_stay(self, server: BackendServer, job: Job) -> bool:
+        """Return whether a run must not go on elsewhere, as it is still starting."""
+        is_starting = self.crash_detector.is_starting(server, job.request_id)
+        return is_starting and self.must_not_repeat(job)
+
     def retry_after_s(self, job: Job, default_s: float, rng: random.Random) -> float:
         """Return the retry delay in seconds for a request that no server accepts.
 
--- a/src/boragespring/forwarding/crash_detection.py
+++ b/src/boragespring/forwarding/crash_detection.py
@@ -114,6 +114,10 @@
         runs = self._runs.setdefault(ServerProcess.of(server), _ServerRuns())
         runs.starting[job.request_id] = _StartingRun(job.service.name, prompt)
 
+    def is_starting(self, server: BackendServer, run_id: str) -> bool:
+        """Return whether a run is tracked that has not proved to be sound."""
+        return self._find(ServerProcess.of(server), run_id) is not None
+
     def run_replied(self, server: BackendServer, run_id: str) -> None:
         """Record that the head of the reply to a run has arrived."""
         run = self._find(ServerProcess.of(server), run_id)
--- a/src/boragespring/forwarding/messages.py
+++ b/src/boragespring/forwarding/messages.py
@@ -309,6 +309,7 @@
     TOO_LATE = "too_late"
     TIMED_OUT = "timed_out"
     REPLY_LOST = "reply_lost"
+    QUARANTINED = "quarantined"
 
 
 @frozen
--- a/src/boragespring/forwarding/probing.py
+++ b/src/boragespring/forwarding/probing.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable, Iterable
 from typing import Protocol
 
-import xxhash
 from attrs import frozen
 
 from boragespring.decisions import DecisionLog
@@ -13,8 +12,9 @@
 from boragespring.fleet import BackendServer, Fleet
 from boragespring.fleet.model import LeavingNotice, ServerReport
 from boragespring.forwarding.errors import ForwardingError, ServerUnreachableError
+from boragespring.rendezvous import is_responsible
 
-__all__ = ["ProbeSettings", "ReportFetcher", "ServerProber", "is_prober"]
+__all__ = ["ProbeSettings", "ReportFetcher", "ServerProber"]
 
 
 @frozen
@@ -44,27 +44,6 @@
         ...
 
 
-def is_prober(server_id: str, local_name: str, peer_names: Iterable[str]) -> bool:
-    """Return whether a server is assigned to this gateway for probing.
-
-    Rendezvous hashing assigns each server to one of the gateways.
-
-    Parameters
-    ----------
-    server_id : str
-        Identifier of the server.
-    local_name : str
-        Name of this gateway.
-    peer_names : iterable of str
-        Names of the other gateways.
-    """
-
-    def rank(name: str) -> int:
-        return xxhash.xxh32_intdigest(f"{server_id} {name}".encode())
-
-    return all(rank(local_name) <= rank(name) for name in peer_names)
-
-
 class ServerProber:
     """Detect leaving servers from their own reports.
 
@@ -165,7 +144,7 @@
             if not server.is_leaving
             and not server.is_paused(now_s)
             and self._serves_reports(server.registration.service)
-            and is_prober(server.server_id, self._local_name, peer_names)
+            and is_responsible(server.server_id, self._local_name, peer_names)
         ]
 
     async def _probe(self, server: BackendServer) -> bool:
--- a/src/boragespring/forwarding/streaming.py
+++ b/src/boragespring/forwarding/streaming.py
@@ -176,6 +176,7 @@
             if server is None:
                 return self._refuse_without_server(job)
             refusal = self._check_overload(job, server)
+            refusal = refusal or self._context.refuse_prompt(job)
             if refusal is not None:
                 return refusal
             if history.count and not self._context.budget.try_acquire(job.service.name):
--- a/src/boragespring/gateway_peers/__init__.py
+++ b/src/boragespring/gateway_peers/__init__.py
@@ -1,8 +1,9 @@
-"""Exchange of loads, store content and evacuations between gateways.
+"""Exchange of loads, store content, evacuations and crashes between gateways.
 
 The messages of this package use the codes 140 to 159.
 """
 
+from boragespring.gateway_peers.crash_sharing import CrashSharing
 from boragespring.gateway_peers.evacuations import EvacuationSharing
 from boragespring.gateway_peers.loads import LoadSharing, LoadSharingSettings
 from boragespring.gateway_peers.network import PeerNetwork, PeerNetworkSettings
@@ -18,6 +19,7 @@
 )
 
 __all__ = [
+    "CrashSharing",
     "EvacuationSharing",
     "GatewayLocation",
     "LoadSharing",
--- /dev/null
+++ b/src/boragespring/gateway_peers/crash_sharing.py
@@ -0,0 +1,131 @@
+"""Exchange what gateways know of crashes that prompts may have caused."""
+
+import time
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from boragespring.gateway_peers.messages import PromptCrashes
+from boragespring.gateway_peers.network import PeerNetwork
+from boragespring.links import Dispatcher, Link, LinkClosedError
+from boragespring.quarantine import (
+    Clearance,
+    Crash,
+    Prompt,
+    PromptQuarantine,
+    ServerProcess,
+)
+
+__all__ = ["CrashSharing"]
+
+
+class CrashSharing:
+    """Flood news of crashes over all links, and all that is known over a new link.
+
+    Only what a gateway did not know is passed on, so that each piece of news crosses
+    each link a few times at most. Servers crash rarely, compared with requests.
+
+    Parameters
+    ----------
+    quarantine : PromptQuarantine
+        Crashes known to this gateway.
+    dispatcher : Dispatcher
+        Registry for the message handler of this class.
+    network : PeerNetwork
+        Links to the other gateways.
+    clock : callable, default=time.monotonic
+        Source of time in seconds.
+    """
+
+    def __init__(
+        self,
+        quarantine: PromptQuarantine,
+        dispatcher: Dispatcher,
+        network: PeerNetwork,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._quarantine = quarantine
+        self._network = network
+        self._clock = clock
+        dispatcher.on(PromptCrashes, self._handle)
+        dispatcher.on_up(self._send_all)
+        quarantine.news_hooks.append(self._send_news)
+
+    def _send_all(self, link: Link) -> None:
+        evidence = self._quarantine.evidence
+        self._send([link], evidence.crashes, evidence.clearances)
+
+    def _send_news(
+        self, crashes: Iterable[Crash], clearances: Iterable[Clearance]
+    ) -> None:
+        self._send(self._network.links(), crashes, clearances)
+
+    def _send(
+        self,
+        links: Iterable[Link],
+        crashes: Iterable[Crash],
+        clearances: Iterable[Clearance],
+    ) -> None:
+        message = PromptCrashes(
+            [self._crash_row(crash) for crash in crashes],
+            [_clearance_row(clearance) for clearance in clearances],
+        )
+        if not message.crashes and not message.clearances:
+            return
+        for link in links:
+            try:
+                link.send(message)
+            except LinkClosedError:
+                # All that is known is sent when the link is opened again.
+                continue
+
+    def _handle(self, link: Link, message: PromptCrashes) -> None:
+        crashes, clearances = self._quarantine.merge(
+            [self._read_crash(row) for row in message.crashes],
+            [_read_clearance(row) for row in message.clearances],
+        )
+        others = [each for each in self._network.links() if each.peer != link.peer]
+        self._send(others, crashes, clearances)
+
+    def _crash_row(self, crash: Crash) -> list[Any]:
+        age_ms = round((self._clock() - crash.at_s) * 1000)
+        return [
+            crash.process.server_id,
+            crash.process.started_at_ms,
+            crash.service,
+            age_ms,
+            [sorted(prompt) for prompt in crash.prompts],
+            [sorted(prompt) for prompt in crash.silent_prompts],
+        ]
+
+    def _read_crash(self, row: list[Any]) -> Crash:
+        server_id, started_at_ms, service, age_ms, prompts, silent_prompts = row
+        return Crash(
+            process=ServerProcess(str(server_id), int(started_at_ms)),
+            service=str(service),
+            at_s=self._clock() - int(age_ms) / 1000,
+            prompts=_read_prompts(prompts),
+            silent_prompts=_read_prompts(silent_prompts),
+        )
+
+
+def _clearance_row(clearance: Clearance) -> list[Any]:
+    processes = [
+        [process.server_id, process.started_at_ms] for process in clearance.processes
+    ]
+    return [clearance.service, clearance.part, processes]
+
+
+def _read_clearance(row: list[Any]) -> Clearance:
+    service, part, processes = row
+    return Clearance(
+        str(service),
+        str(part),
+        frozenset(
+            ServerProcess(str(server_id), int(started_at_ms))
+            for server_id, started_at_ms in processes
+        ),
+    )
+
+
+def _read_prompts(rows: Iterable[Iterable[Any]]) -> frozenset[Prompt]:
+    return frozenset(frozenset(map(str, parts)) for parts in rows)
--- a/src/boragespring/gateway_peers/messages.py
+++ b/src/boragespring/gateway_peers/messages.py
@@ -12,6 +12,7 @@
     "JoinRelay",
     "LeavingRunEnded",
     "LeavingRuns",
+    "PromptCrashes",
     "ReadSnapshot",
     "ServerLeaving",
     "ServerUnreachable",
@@ -189,3 +190,23 @@
     """A gateway is stopping."""
 
     name: str
+
+
+@message(152)
+class PromptCrashes:
+    """Crashes of servers that the sender knows, with the prompts starting there.
+
+    Parameters
+    ----------
+    crashes : list
+        One row for each crash: identifier of the server, its start time in
+        milliseconds by its clock, its service, the age of the crash in milliseconds,
+        and two lists of prompts, with a reply and without. A prompt is the list of its
+        parts that other requests may share.
+    clearances : list
+        One row for each part of prompts that did not cause some crashes: service,
+        part, and a row for each crashed process with its server and start time.
+    """
+
+    crashes: list[Any]
+    clearances: list[Any]
--- a/src/boragespring/platform/tests/test_crashing_prompts.py
+++ b/src/boragespring/platform/tests/test_crashing_prompts.py
@@ -5,6 +5,7 @@
 
 import aiohttp
 
+from boragespring.child_processes import free_ports
 from boragespring.platform import names
 from boragespring.platform.tests.support import (
     deployment,
@@ -121,3 +122,75 @@
             for number in range(6)
         ]
         assert statuses == [200] * 6
+
+
+async def crash_three_servers(session, platform):
+    """Let three requests with the part crash a server each."""
+    for number in range(3):
+        process = platform.gateways[number % len(platform.gateways)]
+        assert await send(session, process, f"bad-{number}", f"f{number}", BAD) == 0
+        await asyncio.sleep(0.1)
+
+
+async def test_gateway_that_starts_after_the_crashes_learns_of_them(session):
+    async with deployment(engines=4, gateways=2) as platform:
+        platform.crashing_parts.add(BAD)
+        await crash_three_servers(session, platform)
+        process = await platform.add_gateway("late", free_ports(4))
+        await wait_until(lambda: not process.gateway.why_not_ready())
+        await asyncio.sleep(0.5)
+        assert await send(session, process, "late-1", "f9", BAD) == 503
+        assert len(platform.crash_times_s) == 3
+
+
+async def test_refusal_names_the_part_and_the_crashes(session):
+    async with deployment(engines=4) as platform:
+        platform.crashing_parts.add(BAD)
+        process = platform.gateways[0]
+        await crash_three_servers(session, platform)
+        assert await send(session, process, "r1", "f9", BAD) == 503
+        (record,) = log_records(process, "prompt_refused")
+        assert (record.request_id, record.parts) == ("r1", [BAD])
+        assert len(record.crashes) == 3
+        assert {"server", "age_s"} == record.crashes[0].keys()
+        assert await send(session, process, "r2", "f9", "rare") == 200
+
+
+async def test_crashing_part_stays_refused_when_sound_runs_share_its_server(session):
+    async with deployment(engines=5, gateways=2) as platform:
+        platform.crashing_parts.add(BAD)
+        sound = [
+            asyncio.create_task(
+                send(session, platform.gateways[n % 2], f"s{n}", "f0", f"rare{n}")
+            )
+            for n in range(8)
+        ]
+        await crash_three_servers(session, platform)
+        await asyncio.gather(*sound)
+        for number in range(4):
+            process = platform.gateways[number % 2]
+            assert (
+                await send(session, process, f"t{number}", "f0", f"rare{number}") == 200
+            )
+            assert await send(session, process, f"u{number}", "f0", BAD) == 503
+
+
+async def test_servers_that_end_without_a_run_to_blame_quarantine_nothing(session):
+    async with deployment(engines=5) as platform:
+        process = platform.gateways[0]
+        for number in range(3):
+            engine = platform.engines[f"engine-{number}"]
+            stream = asyncio.create_task(
+                send(session, process, f"s{number}", "f0", "rare", output_tokens=400)
+            )
+            await wait_until(
+                lambda number=number: any(
+                    f"s{number}" in each.runs
+                    and each.runs[f"s{number}"].event_count > 5
+                    for each in platform.engines.values()
+                )
+            )
+            await engine.crash()
+            await stream
+        assert await send(session, process, "r1", "f0", "rare") == 200
+        assert not log_records(process, "prompt_quarantined")
--- a/src/boragespring/quarantine/__init__.py
+++ b/src/boragespring/quarantine/__init__.py
@@ -1,5 +1,33 @@
-"""Find the parts of prompts that crash backend servers."""
+"""Find the parts of prompts that crash backend servers, and refuse requests with them.
+
+`crashes` says what a crash is, `evidence` keeps and merges what is known of them,
+`culprits` finds the parts that explain them, and `quarantine` decides on requests.
+"""
 
 from boragespring.quarantine.crashes import Crash, Prompt, ServerProcess
+from boragespring.quarantine.culprits import Culprit, CulpritSettings, find_culprits
+from boragespring.quarantine.evidence import (
+    Clearance,
+    CrashEvidence,
+    EvidenceSettings,
+)
+from boragespring.quarantine.quarantine import (
+    PromptQuarantine,
+    QuarantineDecision,
+    QuarantineSettings,
+)
 
-__all__ = ["Crash", "Prompt", "ServerProcess"]
+__all__ = [
+    "Clearance",
+    "Crash",
+    "CrashEvidence",
+    "Culprit",
+    "CulpritSettings",
+    "EvidenceSettings",
+    "Prompt",
+    "PromptQuarantine",
+    "QuarantineDecision",
+    "QuarantineSettings",
+    "ServerProcess",
+    "find_culprits",
+]
--- /dev/null
+++ b/src/boragespring/quarantine/quarantine.py
@@ -0,0 +1,244 @@
+"""Refuse requests with parts of prompts that are held to crash servers."""
+
+import time
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from attrs import frozen
+
+from boragespring.decisions import DecisionLog
+from boragespring.quarantine.crashes import Crash, Prompt
+from boragespring.quarantine.culprits import Culprit, CulpritSettings, find_culprits
+from boragespring.quarantine.evidence import Clearance, CrashEvidence
+
+__all__ = ["PromptQuarantine", "QuarantineDecision", "QuarantineSettings"]
+
+#: Called with crashes and clearances that were not known before.
+NewsHook = Callable[[Iterable[Crash], Iterable[Clearance]], None]
+
+
+@frozen
+class QuarantineSettings:
+    """Number of crashes needed, and times between two trials.
+
+    Parameters
+    ----------
+    culprit : CulpritSettings
+        Crashes after which prompts are refused.
+    suspect : CulpritSettings
+        Crashes after which a run is not repeated or resumed on another server.
+    trial_interval_s : float
+        Time in seconds from the last crash to the first trial; it doubles with each
+        further crash.
+    trial_interval_max_s : float
+        Maximum time in seconds between two trials.
+    """
+
+    culprit: CulpritSettings = CulpritSettings(crashes_min=3)
+    suspect: CulpritSettings = CulpritSettings(crashes_min=2)
+    trial_interval_s: float = 60.0
+    trial_interval_max_s: float = 600.0
+
+
+@frozen
+class QuarantineDecision:
+    """Decision not to send a request to any server.
+
+    Parameters
+    ----------
+    culprit : Culprit
+        Parts of the prompt on which it is based.
+    trial_in_s : float
+        Time in seconds until one request with these parts is sent as a trial.
+    """
+
+    culprit: Culprit
+    trial_in_s: float
+
+
+@frozen
+class _Trial:
+    """Request that was sent to find out whether its parts still crash servers."""
+
+    request_id: str
+    started_at_s: float
+
+
+class PromptQuarantine:
+    """Decide whether a request may be sent, by the crashes that its prompt explains.
+
+    One gateway of the fleet sends a single request as a trial when some time has passed
+    since the last crash. The first answer to it ends the quarantine.
+
+    Parameters
+    ----------
+    evidence : CrashEvidence
+        Crashes known to this gateway.
+    settings : QuarantineSettings
+        Number of crashes needed, and times between two trials.
+    is_responsible : callable
+        Returns whether this gateway sends the trials for a key.
+    log : DecisionLog
+        Log of the parts that are held to crash servers, and of refused requests.
+    clock : callable, default=time.monotonic
+        Source of time in seconds.
+    """
+
+    def __init__(
+        self,
+        evidence: CrashEvidence,
+        settings: QuarantineSettings,
+        is_responsible: Callable[[str], bool],
+        log: DecisionLog,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.evidence = evidence
+        self._settings = settings
+        self._is_responsible = is_responsible
+        self._log = log
+        self._clock = clock
+        self._version = evidence.version
+        self._culprits: tuple[Culprit, ...] = ()
+        self._suspects: tuple[Culprit, ...] = ()
+        self._trials: dict[Culprit, _Trial] = {}
+        self.news_hooks: list[NewsHook] = []
+
+    @property
+    def culprits(self) -> tuple[Culprit, ...]:
+        """Parts of prompts with which requests are refused."""
+        self._update()
+        return self._culprits
+
+    def check(
+        self, service: str, prompt: Prompt, request_id: str
+    ) -> QuarantineDecision | None:
+        """Return why a request must not be sent to a server, or None if it may.
+
+        Parameters
+        ----------
+        service : str
+            Service of the server.
+        prompt : Prompt
+            Parts of the prompt that other requests may share.
+        request_id : str
+            Identifier of the request.
+        """
+        if not prompt:
+            return None
+        culprit = _find(self.culprits, service, prompt)
+        if culprit is None:
+            return None
+        trial_in_s = self._trial_at_s(culprit) - self._clock()
+        if self._try(culprit, trial_in_s, request_id):
+            return None
+        self._log.failure(
+            "prompt_refused",
+            request_id,
+            trial_in_s=round(trial_in_s, 1),
+            **self._describe(culprit),
+        )
+        return QuarantineDecision(culprit, max(0.0, trial_in_s))
+
+    def is_suspected(self, service: str, prompt: Prompt) -> bool:
+        """Return whether a run must not be sent to one more server."""
+        if not prompt:
+            return False
+        self._update()
+        return _find(self._suspects, service, prompt) is not None
+
+    def record_crash(self, crash: Crash) -> None:
+        """Add a crash that this gateway has detected."""
+        self._announce(*self.merge([crash], []))
+
+    def record_sound_run(self, service: str, prompt: Prompt, began_at_s: float) -> None:
+        """Clear the parts of a prompt to which a server has written an answer.
+
+        Parameters
+        ----------
+        service : str
+            Service of the server.
+        prompt : Prompt
+            Parts of the prompt.
+        began_at_s : float
+            Monotonic time in seconds at which the answer began.
+        """
+        clearances = list(self.evidence.clear(service, prompt, began_at_s))
+        if clearances:
+            self._update()
+            self._announce([], clearances)
+
+    def merge(
+        self, crashes: Iterable[Crash], clearances: Iterable[Clearance]
+    ) -> tuple[list[Crash], list[Clearance]]:
+        """Add crashes and clearances; return those that were not known before."""
+        new_clearances = [
+            clearance
+            for clearance in clearances
+            if self.evidence.add_clearance(clearance)
+        ]
+        new_crashes = [crash for crash in crashes if self.evidence.add_crash(crash)]
+        self._update()
+        return new_crashes, new_clearances
+
+    def _announce(
+        self, crashes: Iterable[Crash], clearances: Iterable[Clearance]
+    ) -> None:
+        for hook in self.news_hooks:
+            hook(crashes, clearances)
+
+    def _update(self) -> None:
+        """Find the culprits again if the evidence has changed."""
+        if self._version == self.evidence.version:
+            return
+        self._version = self.evidence.version
+        before, settings = self._culprits, self._settings
+        self._culprits = find_culprits(self.evidence, settings.culprit)
+        self._suspects = find_culprits(self.evidence, settings.suspect)
+        for culprit in self._culprits:
+            if culprit not in before:
+                self._log.state_change("prompt_quarantined", **self._describe(culprit))
+        for culprit in before:
+            if culprit not in self._culprits:
+                self._trials.pop(culprit, None)
+                self._log.state_change("prompt_released", **self._describe(culprit))
+
+    def _trial_at_s(self, culprit: Culprit) -> float:
+        """Return the monotonic time in seconds from which a trial is allowed."""
+        settings = self._settings
+        surplus = len(culprit.crashes) - settings.culprit.crashes_min
+        interval_s = min(
+            settings.trial_interval_s * 2.0**surplus, settings.trial_interval_max_s
+        )
+        trial = self._trials.get(culprit)
+        last_trial_s = trial.started_at_s if trial is not None else float("-inf")
+        return max(culprit.last_at_s, last_trial_s) + interval_s
+
+    def _try(self, culprit: Culprit, trial_in_s: float, request_id: str) -> bool:
+        """Return whether a request is the trial of a culprit; start one if due."""
+        trial = self._trials.get(culprit)
+        if trial is not None and trial.request_id == request_id:
+            return True
+        key = " ".join([culprit.service, *sorted(culprit.parts)])
+        if trial_in_s > 0 or not self._is_responsible(key):
+            return False
+        self._trials[culprit] = _Trial(request_id, self._clock())
+        self._log.request("prompt_trial", request_id, **self._describe(culprit))
+        return True
+
+    def _describe(self, culprit: Culprit) -> dict[str, Any]:
+        now_s = self._clock()
+        return {
+            "service": culprit.service,
+            "parts": sorted(culprit.parts),
+            "crashes": [
+                {
+                    "server": crash.process.server_id,
+                    "age_s": round(now_s - crash.at_s, 1),
+                }
+                for crash in culprit.crashes
+            ],
+        }
+
+
+def _find(culprits: Iterable[Culprit], service: str, prompt: Prompt) -> Culprit | None:
+    return next((each for each in culprits if each.matches(service, prompt)), None)
