--- a/src/boragespring/composition/gateway.py
+++ b/src/boragespring/composition/gateway.py
@@ -54,7 +54,6 @@
     PromptQuarantine,
     QuarantineSettings,
 )
-from boragespring.rendezvous import is_responsible
 from boragespring.settings.gateway import (
     GatewayBounds,
     GatewaySettings,
@@ -104,7 +103,14 @@
     location = GatewayLocation(settings.name, settings.availability_zone)
     watch_rotation = WatchRotation(location, peers.network.reachable_relays)
     store_sync = build_store_sync(
-        settings, registry, catalog_holder, fleet, peers, watch_rotation, log
+        settings,
+        registry,
+        catalog_holder,
+        fleet,
+        peers,
+        watch_rotation,
+        quarantine,
+        log,
     )
     prober = ServerProber(
         fleet=fleet,
@@ -173,16 +179,15 @@
 def _build_quarantine(
     crash_detector: CrashDetector, peers: GatewayPeers, log: DecisionLog
 ) -> PromptQuarantine:
-    network = peers.network
     quarantine = PromptQuarantine(
         CrashEvidence(),
         QuarantineSettings(),
-        lambda key: is_responsible(key, network.local_name, network.known_names()),
+        peers.is_responsible,
         log,
     )
     crash_detector.crash_hooks.append(quarantine.record_crash)
     crash_detector.sound_hooks.append(quarantine.record_sound_run)
-    CrashSharing(quarantine, peers.dispatcher, network)
+    CrashSharing(quarantine, peers.dispatcher, peers.network)
     return quarantine
 
 
--- a/src/boragespring/composition/gateway_peers.py
+++ b/src/boragespring/composition/gateway_peers.py
@@ -13,6 +13,7 @@
 from boragespring.links.messages import PROTOCOL_VERSION
 from boragespring.membership.entry_peers import EntryPeers
 from boragespring.metrics import LinkMetrics
+from boragespring.rendezvous import is_responsible
 from boragespring.settings.gateway import GatewaySettings
 from boragespring.store.instances import Instance, InstanceRole
 
@@ -45,6 +46,10 @@
         """Stop dialing and close the links that this gateway has dialed."""
         self.entries.stop()
 
+    def is_responsible(self, key: str) -> bool:
+        """Return whether this gateway, of all known ones, is responsible for a key."""
+        return is_responsible(key, self.network.local_name, self.network.known_names())
+
     def count(self) -> int:
         """Return the number of known gateways, including this one; at least 1."""
         return max(1, len(self.entries.entries))
--- a/src/boragespring/composition/gateway_store.py
+++ b/src/boragespring/composition/gateway_store.py
@@ -22,6 +22,12 @@
 from boragespring.platform.names import CATALOG_KEY, REGISTRATION_PREFIX
 from boragespring.platform.store_client import PlatformStore, PlatformStoreSettings
 from boragespring.platform.store_feeds import CatalogFeed, FleetFeed, StoreContactLog
+from boragespring.quarantine import (
+    CRASHES_KEY,
+    CrashArchive,
+    CrashArchiveSettings,
+    PromptQuarantine,
+)
 from boragespring.settings.gateway import GatewaySettings, GatewayStoreSettings
 from boragespring.store import BudgetedStore, BudgetSettings
 from boragespring.store.fan_out import PrefixFanOut
@@ -39,7 +45,7 @@
 class StoreSync:
     """Components that keep the data from the store up to date.
 
-    The data are the catalog, the backend servers and the other gateways.
+    The data are the catalog, the backend servers, the other gateways and crashes.
 
     Parameters
     ----------
@@ -67,9 +73,10 @@
     fleet: Fleet,
     peers: GatewayPeers,
     watch_rotation: WatchRotation,
+    quarantine: PromptQuarantine,
     log: DecisionLog,
 ) -> StoreSync:
-    """Return the components that follow the catalog, the servers and the gateways."""
+    """Return the components that follow what the store holds."""
     platform_store = PlatformStore(PlatformStoreSettings(settings.store.url))
     platform_store.next_poll_timeout_s = watch_rotation.next_timeout_s
     store = BudgetedStore(platform_store, _store_budget_settings(settings.store))
@@ -81,11 +88,15 @@
         PresenceSettings(),
         log,
     )
+    archive = CrashArchive(
+        store, quarantine, peers.is_responsible, CrashArchiveSettings(), log
+    )
     fan_out = PrefixFanOut(
         {
             CATALOG_KEY: CatalogFeed(catalog_holder, log),
             REGISTRATION_PREFIX: FleetFeed(fleet, log),
             PRESENCE_PREFIX: presence,
+            CRASHES_KEY: archive,
         }
     )
     follower = PrefixFollower(store, ALL_KEYS_PREFIX, fan_out, StoreContactLog(log))
@@ -98,7 +109,7 @@
         follower, peers.dispatcher, peers.network, SnapshotSharingSettings(), log
     )
     return StoreSync(
-        loops=(follower.run, presence.run, snapshots.run),
+        loops=(follower.run, presence.run, snapshots.run, archive.run),
         close_hooks=(presence.withdraw, peers.close, store.close),
         snapshot_age_s=lambda: time.monotonic() - follower.complete_at_s,
         is_store_lost=lambda: follower.is_store_lost,
--- a/src/boragespring/platform/tests/test_crashing_prompts.py
+++ b/src/boragespring/platform/tests/test_crashing_prompts.py
@@ -13,6 +13,7 @@
     request_headers,
     wait_until,
 )
+from boragespring.quarantine import CRASHES_KEY
 
 BAD = "bad1"
 
@@ -194,3 +195,17 @@
             await stream
         assert await send(session, process, "r1", "f0", "rare") == 200
         assert not log_records(process, "prompt_quarantined")
+
+
+async def test_quarantine_outlasts_a_restart_of_all_gateways(session):
+    async with deployment(engines=4, gateways=2) as platform:
+        platform.crashing_parts.add(BAD)
+        await crash_three_servers(session, platform)
+        await wait_until(lambda: platform.store.keyspace.get(CRASHES_KEY).item)
+        for process in platform.gateways:
+            await process.gateway.stop()
+        platform.gateways.clear()
+        restarted = await platform.add_gateway("gateway-0", free_ports(4))
+        await wait_until(lambda: not restarted.gateway.why_not_ready())
+        assert await send(session, restarted, "r1", "f9", BAD) == 503
+        assert len(platform.crash_times_s) == 3
--- a/src/boragespring/quarantine/__init__.py
+++ b/src/boragespring/quarantine/__init__.py
@@ -2,8 +2,14 @@
 
 `crashes` says what a crash is, `evidence` keeps and merges what is known of them,
 `culprits` finds the parts that explain them, and `quarantine` decides on requests.
+`archive` keeps the crashes in the store.
 """
 
+from boragespring.quarantine.archive import (
+    CRASHES_KEY,
+    CrashArchive,
+    CrashArchiveSettings,
+)
 from boragespring.quarantine.crashes import Crash, Prompt, ServerProcess
 from boragespring.quarantine.culprits import Culprit, CulpritSettings, find_culprits
 from boragespring.quarantine.evidence import (
@@ -18,8 +24,11 @@
 )
 
 __all__ = [
+    "CRASHES_KEY",
     "Clearance",
     "Crash",
+    "CrashArchive",
+    "CrashArchiveSettings",
     "CrashEvidence",
     "Culprit",
     "CulpritSettings",
