--- /dev/null
+++ b/src/boragespring/platform/soak/breaches.py
@@ -0,0 +1,23 @@
+"""Guarantees that a soak run checks."""
+
+from enum import StrEnum
+
+__all__ = ["SoakBreachKind"]
+
+
+class SoakBreachKind(StrEnum):
+    """Kind of violated guarantee."""
+
+    NO_END = "no_end"
+    WRONG_ANSWER = "wrong_answer"
+    WRONG_EVENTS = "wrong_events"
+    RAN_TOO_OFTEN = "ran_too_often"
+    RAN_THOUGH_REFUSED = "ran_though_refused"
+    SERVED_REMOVED_KEY = "served_removed_key"
+    DENIED = "denied"
+    CUT_BY_PLANNED_WORK = "cut_by_planned_work"
+    SENT_TO_LEAVING = "sent_to_leaving_server"
+    SENT_ON = "crashing_prompt_sent_on"
+    WRONGLY_REFUSED = "sound_prompts_refused"
+    NOT_READY = "not_ready_after_faults"
+    EXIT_CODE = "exit_code"
--- a/src/boragespring/platform/soak/callers.py
+++ b/src/boragespring/platform/soak/callers.py
@@ -21,6 +21,13 @@
 EVENTS_MAX = 200
 TOKENS_PER_EVENT = 4
 KEYS = ("key-1", "key-2", "key-3")
+#: Part of the prompts with which a run crashes its engine during some faults, time in
+#: seconds for which it does, and time between two requests with it.
+CRASHING_PART = "crashing"
+CRASHING_S = 6.0
+CRASHING_INTERVAL_S = 0.12
+#: Number of parts with which prompts begin.
+FIRST_PARTS = 3
 #: One caller in this many disconnects early.
 EARLY_DISCONNECT_ONE_IN = 12
 
@@ -45,6 +52,8 @@
         Kind of the request.
     key : str
         API key of the caller.
+    parts : tuple of str
+        Parts of the prompt that other requests may share; empty for other requests.
     gateway : SoakGateway
         Gateway that the request was sent to.
     sent_at_s, ended_at_s : float
@@ -75,6 +84,7 @@
     key: str
     gateway: SoakGateway
     sent_at_s: float
+    parts: tuple[str, ...] = ()
     expected_events: int = 0
     gateway_start_count: int = 0
     status: int = 0
@@ -116,10 +126,35 @@
             asyncio.TaskGroup() as group,
         ):
             end_s = time.monotonic() + duration_s
+            group.create_task(self._send_crashing(session, group, end_s))
             while time.monotonic() < end_s:
                 group.create_task(self._call(session, self._create_record()))
                 await asyncio.sleep(self._rng.expovariate(REQUESTS_PER_S))
 
+    async def _send_crashing(
+        self, session: aiohttp.ClientSession, group: asyncio.TaskGroup, end_s: float
+    ) -> None:
+        """Send requests that crash their engines, to all gateways in turn."""
+        number = 0
+        while time.monotonic() < end_s:
+            await asyncio.sleep(CRASHING_INTERVAL_S)
+            if not self._deployment.platform.crashing_parts:
+                continue
+            number += 1
+            gateway = self._deployment.select_gateway(number)
+            record = CallRecord(
+                request_id=f"{CRASHING_PART}-{number}",
+                kind=RequestKind.DRAFT,
+                key=KEYS[-1],
+                gateway=gateway,
+                sent_at_s=time.monotonic(),
+                parts=(f"first-{number % FIRST_PARTS}", CRASHING_PART),
+                expected_events=EVENTS_MAX // 10,
+                gateway_start_count=gateway.start_count,
+            )
+            self.records.append(record)
+            group.create_task(self._call(session, record))
+
     def _create_record(self) -> CallRecord:
         kind = self._rng.choices(tuple(RequestKind), (5, 3, 2))[0]
         gateway = self._deployment.select_gateway(self._rng.randrange(1000))
@@ -133,6 +168,7 @@
         )
         if kind is RequestKind.DRAFT:
             record.expected_events = self._rng.randint(1, EVENTS_MAX)
+            record.parts = (f"first-{len(self.records) % FIRST_PARTS}",)
         record.disconnects_early = self._rng.randrange(EARLY_DISCONNECT_ONE_IN) == 0
         self.records.append(record)
         return record
@@ -164,7 +200,8 @@
         if record.expected_events:
             tokens = record.expected_events * TOKENS_PER_EVENT
             headers[names.TOKEN_COUNTS] = f"200,{tokens}"
-            headers[names.PROMPT_PARTS] = f"{record.request_id[:4]}:200"
+            parts = (*record.parts, record.request_id)
+            headers[names.PROMPT_PARTS] = ",".join(f"{part}:60" for part in parts)
         url = f"{record.gateway.url}/{record.kind.value}/x"
         async with session.post(url, headers=headers, data=b"b") as response:
             record.status = response.status
--- a/src/boragespring/platform/soak/deployment.py
+++ b/src/boragespring/platform/soak/deployment.py
@@ -1,7 +1,10 @@
 """Emulated platform with each gateway in its own process."""
 
 import asyncio
+import contextlib
 import signal
+import time
+from collections.abc import AsyncIterator
 from http import HTTPStatus
 from pathlib import Path
 
@@ -66,6 +69,9 @@
         Whether the current process was ready at least once.
     exit_codes : list of int
         Exit codes of planned stops.
+    disturbances : list of tuple of float
+        Monotonic times of the begin and the end of all that kept the process from
+        running.
     fault_lock : asyncio.Lock
         Held while a fault that stops or signals this gateway is in progress.
     """
@@ -80,6 +86,7 @@
     failed_checks: int = FAILED_CHECKS_MAX
     has_been_ready: bool = False
     exit_codes: list[int] = field(factory=list)
+    disturbances: list[tuple[float, float]] = field(factory=list)
     fault_lock: asyncio.Lock = field(factory=asyncio.Lock)
 
     @property
@@ -92,6 +99,22 @@
         """Base URL for callers."""
         return f"http://{self.host}:{self.callers_port}"
 
+    @contextlib.asynccontextmanager
+    async def disturbed(self) -> AsyncIterator[None]:
+        """Record a disturbance, of which there is one at a time."""
+        async with self.fault_lock:
+            began_at_s = time.monotonic()
+            try:
+                yield
+            finally:
+                self.disturbances.append((began_at_s, time.monotonic()))
+
+    def was_undisturbed(self, from_s: float, to_s: float) -> bool:
+        """Return whether nothing kept the process from running in a period."""
+        return all(
+            end_s < from_s or to_s < begin_s for begin_s, end_s in self.disturbances
+        )
+
     @property
     def is_in_rotation(self) -> bool:
         """Whether the load balancer sends new requests to the gateway."""
@@ -184,7 +207,7 @@
 
     async def stop(self, gateway: SoakGateway) -> None:
         """Stop a gateway with SIGTERM, record its exit code and restart it."""
-        async with gateway.fault_lock:
+        async with gateway.disturbed():
             was_ready = gateway.has_been_ready
             self.signal(gateway, signal.SIGTERM)
             code = await self._processes.wait(gateway.process_name, 2 * STOP_GRACE_S)
@@ -195,7 +218,7 @@
 
     async def kill(self, gateway: SoakGateway, down_s: float) -> None:
         """Kill a gateway and restart it after `down_s` seconds."""
-        async with gateway.fault_lock:
+        async with gateway.disturbed():
             self.signal(gateway, signal.SIGKILL)
             await self._processes.wait(gateway.process_name)
             await asyncio.sleep(down_s)
@@ -203,7 +226,7 @@
 
     async def freeze(self, gateway: SoakGateway, duration_s: float) -> None:
         """Suspend the process of a gateway for `duration_s` seconds."""
-        async with gateway.fault_lock:
+        async with gateway.disturbed():
             self.signal(gateway, signal.SIGSTOP)
             await asyncio.sleep(duration_s)
             self.signal(gateway, signal.SIGCONT)
--- a/src/boragespring/platform/soak/injector.py
+++ b/src/boragespring/platform/soak/injector.py
@@ -9,6 +9,7 @@
 
 from boragespring.platform.emulator import ServiceFault, StoreMode
 from boragespring.platform.names import REGISTRATION_PREFIX
+from boragespring.platform.soak.callers import CRASHING_PART, CRASHING_S
 from boragespring.platform.soak.deployment import (
     CATALOG_DELAY_S,
     SoakDeployment,
@@ -101,6 +102,7 @@
             SoakFaultKind.STORE_RESTORED: self._restore_store,
             SoakFaultKind.SERVER_LEAVING: self._state_leaving,
             SoakFaultKind.SERVER_PAUSED: self._pause_service,
+            SoakFaultKind.PROMPT_CRASHES: self._crash_by_prompt,
         }
 
     async def run(self) -> None:
@@ -287,6 +289,12 @@
         if not any(service.states_leaving for service in services):
             services[fault.choice % len(services)].states_leaving = True
 
+    async def _crash_by_prompt(self, fault: SoakFault) -> None:
+        """Let runs with one part in their prompts crash their engines."""
+        self.deployment.platform.crashing_parts.add(CRASHING_PART)
+        await asyncio.sleep(CRASHING_S)
+        self.deployment.platform.crashing_parts.clear()
+
     async def _pause_service(self, fault: SoakFault) -> None:
         """Let one service reject all requests and ask for a pause."""
         services = list(self.deployment.platform.services.values())
--- a/src/boragespring/platform/soak/runner.py
+++ b/src/boragespring/platform/soak/runner.py
@@ -4,13 +4,19 @@
 import random
 import time
 from collections import Counter
+from collections.abc import Iterable
 from pathlib import Path
 
 from boragespring.faults import Breach, RunReport
-from boragespring.platform.soak.callers import Callers
+from boragespring.platform.soak.callers import CRASHING_S, Callers
 from boragespring.platform.soak.deployment import SoakDeployment
 from boragespring.platform.soak.injector import SoakInjector
-from boragespring.platform.soak.schedule import PLANNED_KINDS, generate_faults
+from boragespring.platform.soak.schedule import (
+    PLANNED_KINDS,
+    SoakFault,
+    SoakFaultKind,
+    generate_faults,
+)
 from boragespring.platform.soak.verdict import SoakBreachKind, check_guarantees
 
 __all__ = ["run_soak"]
@@ -45,7 +51,7 @@
         callers = Callers(deployment, random.Random(seed))
         injector = SoakInjector(deployment, faults)
         async with asyncio.TaskGroup() as group:
-            group.create_task(callers.run(TRAFFIC_S))
+            group.create_task(callers.run(_traffic_s(faults)))
             group.create_task(injector.run())
         try:
             await deployment.wait_ready(RECOVERY_S)
@@ -71,3 +77,13 @@
     endings = Counter(f"status_{record.status}" for record in records)
     duration_s = time.monotonic() - started_s
     return RunReport(seed, faults, endings, tuple(breaches), duration_s)
+
+
+def _traffic_s(faults: Iterable[SoakFault]) -> float:
+    """Return the time in seconds for which requests are sent beside the faults."""
+    ends_s = (
+        fault.start_s + CRASHING_S
+        for fault in faults
+        if fault.kind is SoakFaultKind.PROMPT_CRASHES
+    )
+    return max(TRAFFIC_S, *ends_s, 0.0)
--- a/src/boragespring/platform/soak/schedule.py
+++ b/src/boragespring/platform/soak/schedule.py
@@ -34,6 +34,7 @@
     STORE_RESTORED = "store_returned_from_a_copy"
     SERVER_LEAVING = "server_states_its_leaving"
     SERVER_PAUSED = "server_asks_for_a_pause"
+    PROMPT_CRASHES = "prompts_crash_engines"
 
 
 #: Planned operations, which alone must not truncate any response.
@@ -59,6 +60,10 @@
 #: Seeds below this one have no faults of the added kinds, so that seeds that failed
 #: before still play what they played then.
 ADDED_SEED_MIN = 5000
+#: The same for kinds that were added later still.
+LATER_KINDS = (SoakFaultKind.PROMPT_CRASHES,)
+LATER_FAULTS_MAX = 1
+LATER_SEED_MIN = 100_000
 
 FAULTS_MIN, FAULTS_MAX = 2, 4
 START_MIN_S, START_MAX_S = 0.2, 3.0
@@ -75,14 +80,20 @@
     is_planned = seed % PLANNED_SEED_INTERVAL == 0
     allowed = sorted(PLANNED_KINDS) if is_planned else list(SoakFaultKind)
     rng = random.Random(seed)
-    first_kinds = [kind for kind in allowed if kind not in ADDED_KINDS]
+    first_kinds = [kind for kind in allowed if kind not in (*ADDED_KINDS, *LATER_KINDS)]
     faults = _draw_faults(rng, first_kinds, rng.randint(FAULTS_MIN, FAULTS_MAX))
     if seed < ADDED_SEED_MIN:
         return faults
     added_rng = random.Random(f"added {seed}")
     added_kinds = [kind for kind in allowed if kind in ADDED_KINDS]
     count = added_rng.randint(0, ADDED_FAULTS_MAX)
-    return (*faults, *_draw_faults(added_rng, added_kinds, count))
+    faults = (*faults, *_draw_faults(added_rng, added_kinds, count))
+    if seed < LATER_SEED_MIN:
+        return faults
+    later_rng = random.Random(f"later {seed}")
+    later_kinds = [kind for kind in allowed if kind in LATER_KINDS]
+    count = later_rng.randint(0, LATER_FAULTS_MAX) if later_kinds else 0
+    return (*faults, *_draw_faults(later_rng, later_kinds, count))
 
 
 def _draw_faults(
--- a/src/boragespring/platform/soak/tests/test_soak.py
+++ b/src/boragespring/platform/soak/tests/test_soak.py
@@ -9,6 +9,7 @@
 from boragespring.platform.soak.callers import CallRecord, RequestKind
 from boragespring.platform.soak.schedule import (
     ADDED_KINDS,
+    LATER_KINDS,
     PLANNED_KINDS,
     SoakFaultKind,
     generate_faults,
@@ -129,14 +130,17 @@
 
 
 def test_seeds_generate_every_kind_and_planned_operations_alone():
-    schedules = [generate_faults(seed) for seed in range(5000, 5200)]
+    schedules = [generate_faults(seed) for seed in range(100_000, 100_200)]
     kinds = {fault.kind for fault in itertools.chain.from_iterable(schedules)}
     assert kinds == set(SoakFaultKind)
     for faults in schedules[::4]:
         assert {fault.kind for fault in faults} <= PLANNED_KINDS
     assert generate_faults(7) == generate_faults(7)
+    before = itertools.chain.from_iterable(map(generate_faults, range(5000, 5200)))
+    assert {fault.kind for fault in before} == set(SoakFaultKind) - set(LATER_KINDS)
     older = itertools.chain.from_iterable(map(generate_faults, range(200)))
-    assert {fault.kind for fault in older} == set(SoakFaultKind) - set(ADDED_KINDS)
+    added = {*ADDED_KINDS, *LATER_KINDS}
+    assert {fault.kind for fault in older} == set(SoakFaultKind) - added
 
 
 @pytest.mark.parametrize("seed", SEEDS)
--- a/src/boragespring/platform/soak/verdict.py
+++ b/src/boragespring/platform/soak/verdict.py
@@ -2,14 +2,15 @@
 
 from collections import Counter
 from collections.abc import Iterable, Sequence
-from enum import StrEnum
 
 from attrs import frozen
 
 from boragespring.faults import Breach
 from boragespring.platform import names
 from boragespring.platform.emulator import EmulatedPlatform, EmulatedService
+from boragespring.platform.soak.breaches import SoakBreachKind
 from boragespring.platform.soak.callers import CallRecord, RequestKind
+from boragespring.platform.soak.crash_verdict import check_crashing_prompts
 
 __all__ = ["KeyRemoval", "SoakBreachKind", "check_guarantees"]
 
@@ -21,22 +22,6 @@
 DRAIN_DELAY_S = 2.0
 
 
-class SoakBreachKind(StrEnum):
-    """Kind of violated guarantee."""
-
-    NO_END = "no_end"
-    WRONG_ANSWER = "wrong_answer"
-    WRONG_EVENTS = "wrong_events"
-    RAN_TOO_OFTEN = "ran_too_often"
-    RAN_THOUGH_REFUSED = "ran_though_refused"
-    SERVED_REMOVED_KEY = "served_removed_key"
-    DENIED = "denied"
-    CUT_BY_PLANNED_WORK = "cut_by_planned_work"
-    SENT_TO_LEAVING = "sent_to_leaving_server"
-    NOT_READY = "not_ready_after_faults"
-    EXIT_CODE = "exit_code"
-
-
 @frozen
 class KeyRemoval:
     """Removal of an API key and the time by which all gateways apply it.
@@ -93,16 +78,21 @@
         if service.states_leaving
         for record in _records_sent_to_leaving(records, service)
     ]
-    return sent_to_leaving + [
-        Breach(kind, record.request_id, f"{detail}; {_describe(record)}")
-        for record in records
-        for kind, detail in (
-            *_check_runs(record, runs[record.request_id]),
-            *_check_reply(record, bodies),
-            *_check_key(record, removals, runs[record.request_id]),
-            *_check_end(record, is_planned),
-        )
-    ]
+    prompts = check_crashing_prompts(records, platform)
+    return (
+        sent_to_leaving
+        + prompts
+        + [
+            Breach(kind, record.request_id, f"{detail}; {_describe(record)}")
+            for record in records
+            for kind, detail in (
+                *_check_runs(record, runs[record.request_id]),
+                *_check_reply(record, bodies),
+                *_check_key(record, removals, runs[record.request_id]),
+                *_check_end(record, is_planned),
+            )
+        ]
+    )
 
 
 Finding = tuple[SoakBreachKind, str]
