--- a/src/boragespring/fleet/model.py
+++ b/src/boragespring/fleet/model.py
@@ -232,6 +232,11 @@
     paused_until_s : float
         Monotonic time in seconds until which the server wants no requests of this
         gateway.
+    rate_limit_per_s : float or None
+        Number of requests per second that the server takes from all gateways
+        together; None while it names none.
+    rate_limited_since_s : float
+        Monotonic time in seconds at which this gateway learned of that limit.
     """
 
     registration: Registration
@@ -246,6 +251,8 @@
     suspected_until_s: float = float("-inf")
     suspicions: int = 0
     paused_until_s: float = float("-inf")
+    rate_limit_per_s: float | None = None
+    rate_limited_since_s: float = float("-inf")
 
     @property
     def server_id(self) -> str:
--- a/src/boragespring/fleet/state.py
+++ b/src/boragespring/fleet/state.py
@@ -230,6 +230,24 @@
         server.paused_until_s = max(server.paused_until_s, self._clock() + for_s)
         self._log_change("server_paused", server, for_s=for_s)
 
+    def limit_rate(self, server: BackendServer, rate_per_s: float | None) -> bool:
+        """Apply the rate that a server takes; return whether it is a new one.
+
+        Parameters
+        ----------
+        server : BackendServer
+            Server that named a rate, or none.
+        rate_per_s : float or None
+            Requests per second from all gateways together; None for no limit.
+        """
+        if server.rate_limit_per_s == rate_per_s:
+            return False
+        if server.rate_limit_per_s is None:
+            server.rate_limited_since_s = self._clock()
+        server.rate_limit_per_s = rate_per_s
+        self._log_change("rate_limit", server, rate_per_s=rate_per_s)
+        return True
+
     def _is_outdated(self, registration: Registration) -> bool:
         server = self._servers.get(registration.server_id)
         if server is None or not server.is_registered:
--- a/src/boragespring/forwarding/server_statements.py
+++ b/src/boragespring/forwarding/server_statements.py
@@ -23,11 +23,21 @@
         Time in seconds for which the server wants no requests of this gateway.
     unreadable_retry_after : str
         Value for that time that is no usable number; empty if there is none.
+    rate_limit_per_s : float or None
+        Number of requests per second that the server takes from all gateways
+        together; None if it names none.
+    unreadable_rate_limit : str
+        Value for that rate that is no usable number; empty if there is none.
+    sent_at_s : float
+        Monotonic time in seconds at which the request was sent.
     """
 
     is_leaving: bool = False
     retry_after_s: float | None = None
     unreadable_retry_after: str = ""
+    rate_limit_per_s: float | None = None
+    unreadable_rate_limit: str = ""
+    sent_at_s: float = float("inf")
 
 
 class ServerStatements:
@@ -67,6 +77,24 @@
                 value=statement.unreadable_retry_after,
             )
 
+        self._apply_rate_limit(server, statement)
+
+    def _apply_rate_limit(
+        self, server: BackendServer, statement: ServerStatement
+    ) -> None:
+        if statement.unreadable_rate_limit:
+            self._log.state_change(
+                "rate_limit_unreadable",
+                server=server.server_id,
+                value=statement.unreadable_rate_limit,
+            )
+            return
+        is_older = statement.sent_at_s < server.rate_limited_since_s
+        if statement.rate_limit_per_s is None and is_older:
+            # The reply may have been written before the limit was named.
+            return
+        self._fleet.limit_rate(server, statement.rate_limit_per_s)
+
     def on_notice(self, notice: LeavingNotice) -> None:
         """Apply the statement that a server made to another gateway."""
         server = self._fleet.find(notice.server_id)
--- a/src/boragespring/platform/emulator/engine.py
+++ b/src/boragespring/platform/emulator/engine.py
@@ -130,6 +130,8 @@
         Value of ``Retry-After`` in rejections; all are rejected unless it is empty.
     states_leaving : bool
         Whether the server states in all its replies that it leaves.
+    rate_limit : str
+        Value of ``Server-Limit`` in all replies; empty to send none.
     leaves_at_s : float or None
         Monotonic time at which the server will stop; None if it is not leaving.
     port : int
@@ -154,6 +156,7 @@
     preemptions: int = 0
     retry_after: str = ""
     states_leaving: bool = False
+    rate_limit: str = ""
     leaves_at_s: float | None = None
     port: int = 0
     _copy_numbers: "itertools.count[int]" = field(factory=lambda: itertools.count(1))
@@ -180,7 +183,7 @@
     async def start(self) -> None:
         """Start listening; `port` holds the port in use."""
         app = web.Application()
-        app.on_response_prepare.append(self._add_leaving_header)
+        app.on_response_prepare.append(self._add_statements)
         app.router.add_get("/report", self._handle_report)
         app.router.add_post("/kv-move", self._handle_move)
         app.router.add_delete("/kv-handle/{copy}", self._handle_copy_delete)
@@ -212,11 +215,13 @@
         if self.crash_hook is not None:
             self.crash_hook(self)
 
-    async def _add_leaving_header(
+    async def _add_statements(
         self, _: web.Request, response: web.StreamResponse
     ) -> None:
         if self.states_leaving:
             response.headers[names.SERVER_LEAVING] = "1"
+        if self.rate_limit:
+            response.headers[names.SERVER_LIMIT] = self.rate_limit
 
     async def _handle_report(self, _: web.Request) -> web.Response:
         body = {
--- a/src/boragespring/platform/emulator/service.py
+++ b/src/boragespring/platform/emulator/service.py
@@ -7,6 +7,7 @@
 import asyncio
 import socket
 import struct
+import time
 from collections import deque
 from enum import Enum, auto
 
@@ -78,10 +79,14 @@
         Fault of every reply while `faults` is empty.
     received : list of ReceivedRequest
         All requests received so far.
+    received_at_s : list of float
+        Monotonic times in seconds at which they arrived.
     states_leaving : bool
         Whether the server states in all its replies that it leaves.
     retry_after : str
         Value of ``Retry-After`` in rejections; empty to send none.
+    rate_limit : str
+        Value of ``Server-Limit`` in all replies; empty to send none.
     error_body : bytes
         Body of the replies with the fault `ERROR`.
     runs : list of str
@@ -98,8 +103,10 @@
     faults: deque[ServiceFault] = field(factory=deque)
     default_fault: ServiceFault = ServiceFault.NONE
     received: list[ReceivedRequest] = field(factory=list)
+    received_at_s: list[float] = field(factory=list)
     states_leaving: bool = False
     retry_after: str = ""
+    rate_limit: str = ""
     error_body: bytes = b""
     runs: list[str] = field(factory=list)
     cancelled: list[str] = field(factory=list)
@@ -127,6 +134,7 @@
         try:
             request = await _read_request(reader)
             self.received.append(request)
+            self.received_at_s.append(time.monotonic())
             await self._handle(request, reader, writer)
         except (asyncio.IncompleteReadError, ConnectionError):
             # The gateway or a fault has closed the connection.
@@ -158,7 +166,9 @@
         await self._write_reply(fault, request_id, writer)
 
     def _state_headers(self) -> dict[str, str]:
-        return {names.SERVER_LEAVING: "1"} if self.states_leaving else {}
+        leaving = {names.SERVER_LEAVING: "1"} if self.states_leaving else {}
+        limit = {names.SERVER_LIMIT: self.rate_limit} if self.rate_limit else {}
+        return {**leaving, **limit}
 
     async def _execute(self, reader: asyncio.StreamReader, request_id: str) -> bool:
         """Wait for the execution time; return False if the gateway disconnects."""
@@ -206,7 +216,11 @@
     async def _write_unframed(
         self, fault: ServiceFault, request_id: str, writer: asyncio.StreamWriter
     ) -> None:
-        headers = {names.SIGNATURE: SIGNATURE_VALUE, names.REQUEST_ID: request_id}
+        headers = {
+            names.SIGNATURE: SIGNATURE_VALUE,
+            names.REQUEST_ID: request_id,
+            **self._state_headers(),
+        }
         head = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
         writer.write(f"HTTP/1.1 200 OK\r\n{head}\r\n".encode() + self.body)
         await writer.drain()
--- a/src/boragespring/platform/names.py
+++ b/src/boragespring/platform/names.py
@@ -47,6 +47,9 @@
 RETRY_AFTER: Final = "Retry-After"
 #: ``"1"`` in all replies of a server that leaves.
 SERVER_LEAVING: Final = "Server-Leaving"
+#: Requests a second that the server takes from all gateways together, as a decimal
+#: number, in all its replies for as long as it holds.
+SERVER_LIMIT: Final = "Server-Limit"
 
 # Header of every reply of the store. Its value rises by one each time that the store
 # returns without changes that it had acknowledged.
--- a/src/boragespring/platform/server_calls.py
+++ b/src/boragespring/platform/server_calls.py
@@ -109,6 +109,7 @@
     async def send(self, server: BackendServer, attempt: Attempt) -> _HttpReply:
         """Send a request and wait for the status and headers of the reply."""
         request = attempt.request
+        sent_at_s = time.monotonic()
         url = URL(f"http://{server.address}{request.target}", encoded=True)
         try:
             response = await self._get_session().request(
@@ -125,7 +126,7 @@
             raise _unreachable(error) from error
         except (aiohttp.ClientError, OSError, ValueError) as error:
             raise ReplyLostError(_describe(error)) from error
-        self._pass_on_statement(server, response)
+        self._pass_on_statement(server, response, sent_at_s)
         return _HttpReply(response)
 
     async def copy_run(
@@ -219,11 +220,12 @@
             sock_connect=self._settings.connect_timeout_s,
         )
         url = f"http://{server.address}{path}"
+        sent_at_s = time.monotonic()
         try:
             async with self._get_session().request(
                 method, url, json=body, timeout=timeout
             ) as response:
-                self._pass_on_statement(server, response)
+                self._pass_on_statement(server, response, sent_at_s)
                 return response.status, await response.read()
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise _unreachable(error) from error
@@ -231,12 +233,15 @@
             raise ReplyLostError(_describe(error)) from error
 
     def _pass_on_statement(
-        self, server: BackendServer, response: aiohttp.ClientResponse
+        self,
+        server: BackendServer,
+        response: aiohttp.ClientResponse,
+        sent_at_s: float,
     ) -> None:
         if response.status == _MISDIRECTED:
             # The statement is that of another server, which has the address now.
             return
-        statement = _parse_statement(response)
+        statement = _parse_statement(response, sent_at_s)
         for hook in self.statement_hooks:
             hook(server, statement)
 
@@ -297,25 +302,37 @@
     )
 
 
-def _parse_statement(response: aiohttp.ClientResponse) -> ServerStatement:
-    is_leaving = response.headers.get(names.SERVER_LEAVING, "").strip() == _IS_LEAVING
-    retry_after = response.headers.get(names.RETRY_AFTER, "").strip()
-    if response.status != _UNAVAILABLE or not retry_after:
-        return ServerStatement(is_leaving)
-    retry_after_s = _parse_seconds(retry_after)
-    if retry_after_s is None:
-        unreadable = retry_after[:_LOGGED_VALUE_MAX_CHARACTERS]
-        return ServerStatement(is_leaving, unreadable_retry_after=unreadable)
-    return ServerStatement(is_leaving, retry_after_s)
+def _parse_statement(
+    response: aiohttp.ClientResponse, sent_at_s: float
+) -> ServerStatement:
+    headers = response.headers
+    is_pause = response.status == _UNAVAILABLE
+    retry_after = headers.get(names.RETRY_AFTER, "").strip() if is_pause else ""
+    retry_after_s = _parse_number(retry_after)
+    rate_limit = headers.get(names.SERVER_LIMIT, "").strip()
+    rate_limit_per_s = _parse_number(rate_limit)
+    return ServerStatement(
+        is_leaving=headers.get(names.SERVER_LEAVING, "").strip() == _IS_LEAVING,
+        retry_after_s=retry_after_s,
+        unreadable_retry_after=_unreadable(retry_after, retry_after_s),
+        rate_limit_per_s=rate_limit_per_s,
+        unreadable_rate_limit=_unreadable(rate_limit, rate_limit_per_s),
+        sent_at_s=sent_at_s,
+    )
+
+
+def _unreadable(text: str, value: float | None) -> str:
+    """Return the beginning of a text that could not be read, for the log."""
+    return text[:_LOGGED_VALUE_MAX_CHARACTERS] if value is None else ""
 
 
-def _parse_seconds(text: str) -> float | None:
-    """Return a time in seconds, or None for anything but a finite number from 0 on."""
+def _parse_number(text: str) -> float | None:
+    """Return a number, or None for anything but a finite one from 0 on."""
     try:
-        seconds = float(text)
+        number = float(text)
     except ValueError:
         return None
-    return seconds if math.isfinite(seconds) and seconds >= 0 else None
+    return number if math.isfinite(number) and number >= 0 else None
 
 
 def _parse_object(data: bytes) -> dict[str, Any]:
