--- a/src/boragespring/platform/tests/test_server_rates.py
+++ b/src/boragespring/platform/tests/test_server_rates.py
@@ -1,6 +1,7 @@
 """Servers that name the rate of requests that they take."""
 
 import asyncio
+import time
 
 import pytest
 
@@ -33,3 +34,49 @@
         await fetch_status(session, process, request_id="r2")
         rates = [record.rate_per_s for record in log_records(process, "rate_limit")]
         assert rates == [1000.0, None]
+
+
+#: Time after a server named a rate by which all gateways in touch must keep it.
+CONTACT_S = 3.0
+WINDOW_S = 4.0
+
+
+def allowed(rate_per_s):
+    """Return how many requests a server may get in a window."""
+    return 1.5 * rate_per_s * WINDOW_S + 5
+
+
+def most_in_a_window(times_s, after_s):
+    """Return the largest number of requests in a window after a time."""
+    times_s = sorted(at_s for at_s in times_s if at_s >= after_s)
+    return max(
+        (
+            sum(begin <= at_s < begin + WINDOW_S for at_s in times_s)
+            for begin in times_s
+        ),
+        default=0,
+    )
+
+
+async def send_calls(session, platform, duration_s, interval_s=0.03, path="/look/x"):
+    """Send calls to all gateways in turn; return their statuses."""
+    tasks = []
+    end_s = time.monotonic() + duration_s
+    while time.monotonic() < end_s:
+        process = platform.gateways[len(tasks) % len(platform.gateways)]
+        call = fetch_status(session, process, path, request_id=f"c{len(tasks)}")
+        tasks.append(asyncio.create_task(call))
+        await asyncio.sleep(interval_s)
+    return await asyncio.gather(*tasks)
+
+
+@pytest.mark.parametrize("gateways", [1, 4])
+async def test_server_gets_no_more_than_the_rate_that_it_names(session, gateways):
+    async with deployment(services=3, gateways=gateways) as platform:
+        limited = platform.services["desk-0"]
+        limited.rate_limit = "2.0"
+        began_s = time.monotonic()
+        statuses = await send_calls(session, platform, CONTACT_S + WINDOW_S + 1.0)
+        most = most_in_a_window(limited.received_at_s, began_s + CONTACT_S)
+        assert most <= allowed(2.0)
+        assert set(statuses) == {200}
