--- a/src/boragespring/composition/gateway.py
+++ b/src/boragespring/composition/gateway.py
@@ -42,6 +42,7 @@
     GatewayLocation,
     LoadSharing,
     LoadSharingSettings,
+    RateSharing,
     WatchRotation,
 )
 from boragespring.http.admin import HttpServer, admin_routes
@@ -54,6 +55,7 @@
     PromptQuarantine,
     QuarantineSettings,
 )
+from boragespring.server_rates import RateLimiterSettings, ServerRateLimiter
 from boragespring.settings.gateway import (
     GatewayBounds,
     GatewaySettings,
@@ -86,11 +88,16 @@
     retry_budget = RetryBudget(_retry_budget_settings(settings.bounds), peers.count)
     crash_detector = CrashDetector(calls, CrashDetectorSettings(), log)
     quarantine = _build_quarantine(crash_detector, peers, log)
+    rate_sharing = RateSharing(fleet, peers.dispatcher, peers.network)
+    rates = ServerRateLimiter(rate_sharing, peers.count, RateLimiterSettings())
+    rate_sharing.limiter = rates
+    calls.take_permit = rates.take
     context = ForwardingContext(
         fleet=fleet,
         calls=calls,
         budget=retry_budget,
         crash_detector=crash_detector,
+        rates=rates,
         quarantine=quarantine,
         log=log,
         zone=settings.availability_zone,
@@ -128,7 +135,9 @@
         notify_unreachable=evacuations.notify_unreachable,
         log=log,
     )
-    statements = ServerStatements(fleet, evacuations.notify_leaving, log)
+    statements = ServerStatements(
+        fleet, evacuations.notify_leaving, rate_sharing.notify_rate, log
+    )
     calls.statement_hooks.append(statements.apply)
     evacuations.leaving_hooks.append(statements.on_notice)
     evacuations.unreachable_hooks.append(prober.on_server_unreachable)
@@ -150,6 +159,7 @@
         maintenance=(
             fleet.expire_lapsed,
             quarantine.evidence.expire,
+            lambda: rates.forget_gone(fleet.servers),
             load_sharing.expire_outdated,
             peers.network.refresh,
         ),
@@ -164,6 +174,13 @@
         log=log,
     )
     _add_gauges(metrics, catalog_holder, fleet, store_sync.snapshot_age_s, peers)
+    metrics.add_gauge(
+        "rate_limited_servers",
+        "Backend servers that take a limited rate of requests.",
+        lambda: float(
+            sum(server.rate_limit_per_s is not None for server in fleet.servers)
+        ),
+    )
     metrics.add_gauge(
         "quarantined_prompts",
         "Parts of prompts that are held to crash servers.",
--- a/src/boragespring/fleet/__init__.py
+++ b/src/boragespring/fleet/__init__.py
@@ -1,12 +1,20 @@
 """Registry of the backend servers to which a gateway can send requests."""
 
-from boragespring.fleet.model import BackendServer, Registration, ServerAddress
+from boragespring.fleet.model import (
+    BackendServer,
+    Permit,
+    Registration,
+    ServerAddress,
+    ServerProcess,
+)
 from boragespring.fleet.state import Fleet, FleetSettings
 
 __all__ = [
     "BackendServer",
     "Fleet",
     "FleetSettings",
+    "Permit",
     "Registration",
     "ServerAddress",
+    "ServerProcess",
 ]
--- a/src/boragespring/fleet/model.py
+++ b/src/boragespring/fleet/model.py
@@ -8,10 +8,12 @@
     "BackendServer",
     "LeavingNotice",
     "PeerLoad",
+    "Permit",
     "Registration",
     "RunLoad",
     "ServerAddress",
     "ServerLoadTotals",
+    "ServerProcess",
     "ServerReport",
 ]
 
@@ -160,6 +162,41 @@
         )
 
 
+@frozen
+class ServerProcess:
+    """Identity of one process of a backend server.
+
+    Parameters
+    ----------
+    server_id : str
+        Identifier of the server, under which it may be started again.
+    started_at_ms : int
+        Start time by the server's clock; compared for equality only.
+    """
+
+    server_id: str
+    started_at_ms: int
+
+    @classmethod
+    def of(cls, server: "BackendServer") -> "ServerProcess":
+        """Return the present process of a server."""
+        return cls(server.server_id, server.registration.started_at_ms)
+
+
+@frozen
+class Permit:
+    """Permit to send one request to a server that takes a limited rate.
+
+    Parameters
+    ----------
+    from_s, expires_at_s : float
+        Monotonic times in seconds between which it can be used.
+    """
+
+    from_s: float
+    expires_at_s: float
+
+
 @frozen
 class PeerLoad:
     """Load that another gateway reported for one backend server.
@@ -237,6 +274,8 @@
         together; None while it names none.
     rate_limited_since_s : float
         Monotonic time in seconds at which this gateway learned of that limit.
+    permits : list of Permit
+        Permits of this gateway to send requests while there is such a limit.
     """
 
     registration: Registration
@@ -253,6 +292,7 @@
     paused_until_s: float = float("-inf")
     rate_limit_per_s: float | None = None
     rate_limited_since_s: float = float("-inf")
+    permits: list[Permit] = field(factory=list)
 
     @property
     def server_id(self) -> str:
@@ -312,3 +352,19 @@
     def is_paused(self, now_s: float) -> bool:
         """Return whether the server wants no requests of this gateway."""
         return self.paused_until_s > now_s
+
+    def is_held_back(self, now_s: float) -> bool:
+        """Return whether its rate lets this gateway send no request now."""
+        if self.rate_limit_per_s is None:
+            return False
+        self.permits = [each for each in self.permits if each.expires_at_s > now_s]
+        return all(each.from_s > now_s for each in self.permits)
+
+    def use_permit(self, now_s: float) -> bool:
+        """Use a permit; return whether there was one."""
+        if self.is_held_back(now_s):
+            return False
+        used = next((each for each in self.permits if each.from_s <= now_s), None)
+        if used is not None:
+            self.permits.remove(used)
+        return True
--- a/src/boragespring/forwarding/__init__.py
+++ b/src/boragespring/forwarding/__init__.py
@@ -9,6 +9,7 @@
 from boragespring.forwarding.errors import (
     CopyRefusedError,
     ForwardingError,
+    RateLimitedError,
     ReplyBrokenError,
     ReplyLostError,
     RunNotFoundError,
@@ -58,6 +59,7 @@
     "RefusalReason",
     "MoveSettings",
     "MoveScheduler",
+    "RateLimitedError",
     "ReplyBrokenError",
     "ReplyHead",
     "ReplyLostError",
--- a/src/boragespring/forwarding/buffered.py
+++ b/src/boragespring/forwarding/buffered.py
@@ -11,6 +11,7 @@
 from boragespring.fleet.model import RunLoad
 from boragespring.forwarding.context import ForwardingContext
 from boragespring.forwarding.errors import (
+    RateLimitedError,
     ReplyBrokenError,
     ReplyLostError,
     ServerUnreachableError,
@@ -137,14 +138,23 @@
         while True:
             server = self._choose(job, progress)
             if server is None:
-                return self._give_up(job, progress, RefusalReason.NO_SERVER)
+                found = await self._context.wait_for_server(
+                    job, progress.excluded, self._rng
+                )
+                if not isinstance(found, BackendServer):
+                    reason = found.reason if found else RefusalReason.NO_SERVER
+                    retry_after_s = found.retry_after_s if found else None
+                    return self._give_up(job, progress, reason, retry_after_s)
+                server = found
             if progress.sends and not self._context.budget.try_acquire(
                 job.service.name
             ):
                 return self._give_up(job, progress, RefusalReason.OVERLOADED)
             refusal = self._context.refuse_prompt(job)
             if refusal is not None:
-                return self._give_up(job, progress, refusal.reason)
+                return self._give_up(
+                    job, progress, refusal.reason, refusal.retry_after_s
+                )
             progress.sends += 1
             outcome = await self._send(job, server, progress)
             if isinstance(outcome, BufferedReply) and outcome.head.status < 500:
@@ -172,7 +182,9 @@
             now_s=time.monotonic(),
             excluded=progress.excluded,
         )
-        return choose_server(ServiceCall(), view, self._context.placement)
+        server = choose_server(ServiceCall(), view, self._context.placement)
+        self._context.want_permits(job)
+        return server
 
     async def _send(
         self, job: Job, server: BackendServer, progress: _Progress
@@ -205,6 +217,8 @@
     ) -> BufferedReply | _NotRun | _ReplyLost:
         try:
             reply = await self._context.calls.send(server, job.attempt())
+        except RateLimitedError as error:
+            return _NotRun(str(error))
         except ServerUnreachableError as error:
             self._context.fleet.record_failure(server, str(error), is_certain=True)
             return _NotRun(str(error))
@@ -264,15 +278,20 @@
         return has_crashed and self._context.must_not_repeat(job)
 
     def _give_up(
-        self, job: Job, progress: _Progress, reason: RefusalReason
+        self,
+        job: Job,
+        progress: _Progress,
+        reason: RefusalReason,
+        retry_after_s: float | None = None,
     ) -> BufferedReply | Refusal:
         if progress.failed_reply is not None:
             return progress.failed_reply
         if progress.runs:
             return Refusal(RefusalReason.REPLY_LOST, was_not_run=False)
-        retry_after_s = self._context.retry_after_s(
-            job, self._settings.retry_after_s, self._rng
-        )
+        if retry_after_s is None:
+            retry_after_s = self._context.retry_after_s(
+                job, self._settings.retry_after_s, self._rng
+            )
         return Refusal(reason, True, retry_after_s)
 
     def _on_timeout(self, job: Job, progress: _Progress) -> BufferedReply | Refusal:
--- a/src/boragespring/forwarding/context.py
+++ b/src/boragespring/forwarding/context.py
@@ -2,7 +2,7 @@
 
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from attrs import frozen
 
@@ -16,10 +16,16 @@
 from boragespring.forwarding.retry_budget import RetryBudget
 from boragespring.metrics.gateway import GatewayMetrics
 from boragespring.quarantine import PromptQuarantine
+from boragespring.server_rates import ServerRateLimiter
 
 __all__ = ["ForwardingContext"]
 
 
+#: Fraction of the remaining time for which a request waits for a permit; the rest is
+#: left to its execution.
+MAX_WAIT_SHARE = 0.5
+
+
 def _notify_nobody() -> None:
     """Do nothing; the default for a gateway without peers."""
 
@@ -38,6 +44,8 @@
         Limit on the number of retries.
     crash_detector : CrashDetector
         Detects crashes of the servers on which runs are starting.
+    rates : ServerRateLimiter
+        Keeps the rates that servers take.
     quarantine : PromptQuarantine
         Decides which requests are not sent as their prompts crash servers.
     log : DecisionLog
@@ -56,6 +64,7 @@
     calls: BackendCalls
     budget: RetryBudget
     crash_detector: CrashDetector
+    rates: ServerRateLimiter
     quarantine: PromptQuarantine
     log: DecisionLog
     zone: str
@@ -63,6 +72,59 @@
     metrics: GatewayMetrics
     notify_loads: Callable[[], None] = _notify_nobody
 
+    async def wait_for_server(
+        self, job: Job, excluded: Collection[str], rng: random.Random
+    ) -> BackendServer | Refusal | None:
+        """Wait until a server takes one more request, if only its rate is in the way.
+
+        Parameters
+        ----------
+        job : Job
+            Request that no server takes now.
+        excluded : collection of str
+            Identifiers of the servers that the request was sent to.
+        rng : random.Random
+            Spreads the delays of refused requests.
+
+        Returns
+        -------
+        BackendServer, Refusal or None
+            Server to send the request to at once, a refusal if that would be too late,
+            or None if no server is held back by its rate.
+        """
+        now_s = time.monotonic()
+        servers = [
+            server
+            for server in self.fleet.candidates(job.service.name)
+            if server.is_held_back(now_s)
+            and not server.is_paused(now_s)
+            and server.server_id not in excluded
+        ]
+        if not servers:
+            return None
+        max_wait_s = MAX_WAIT_SHARE * (job.deadline_s - now_s)
+        found = await self.rates.wait_for_permit(
+            servers, excluded, max_wait_s, job.urgency
+        )
+        if isinstance(found, BackendServer):
+            return found
+        self.log.failure(
+            "all_servers_rate_limited",
+            job.request_id,
+            servers=len(servers),
+            next_permit_s=round(found, 3),
+            max_wait_s=round(max_wait_s, 3),
+        )
+        retry_after_s = spread_return_s(found, rng)
+        return Refusal(RefusalReason.RATE_LIMITED, True, retry_after_s)
+
+    def want_permits(self, job: Job) -> None:
+        """Ask for permits of the servers that only their rates hold back."""
+        servers = self.fleet.candidates(job.service.name)
+        self.rates.want(
+            server for server in servers if server.rate_limit_per_s is not None
+        )
+
     def refuse_prompt(self, job: Job) -> Refusal | None:
         """Return a refusal if the prompt of a job is held to crash servers."""
         decision = self.quarantine.check(
--- a/src/boragespring/forwarding/crash_detection.py
+++ b/src/boragespring/forwarding/crash_detection.py
@@ -13,9 +13,9 @@
 from attrs import define, field, frozen
 
 from boragespring.decisions import DecisionLog
-from boragespring.fleet import BackendServer
+from boragespring.fleet import BackendServer, ServerProcess
 from boragespring.forwarding.jobs import Job
-from boragespring.quarantine import Crash, Prompt, ServerProcess
+from boragespring.quarantine import Crash, Prompt
 
 __all__ = ["CrashDetector", "CrashDetectorSettings", "RefusalCheck"]
 
--- a/src/boragespring/forwarding/errors.py
+++ b/src/boragespring/forwarding/errors.py
@@ -5,6 +5,7 @@
 __all__ = [
     "CopyRefusedError",
     "ForwardingError",
+    "RateLimitedError",
     "ReplyBrokenError",
     "ReplyLostError",
     "RunNotFoundError",
@@ -32,6 +33,10 @@
         self.is_refused = is_refused
 
 
+class RateLimitedError(ServerUnreachableError):
+    """The call was not made, as the server takes no more requests at present."""
+
+
 class ReplyLostError(ForwardingError):
     """The request was sent without a valid reply, so it may have run."""
 
--- a/src/boragespring/forwarding/messages.py
+++ b/src/boragespring/forwarding/messages.py
@@ -310,6 +310,7 @@
     TIMED_OUT = "timed_out"
     REPLY_LOST = "reply_lost"
     QUARANTINED = "quarantined"
+    RATE_LIMITED = "rate_limited"
 
 
 @frozen
--- a/src/boragespring/forwarding/placement.py
+++ b/src/boragespring/forwarding/placement.py
@@ -109,7 +109,9 @@
     return [
         server
         for server in servers
-        if server.paused_until_s <= view.now_s and server.server_id not in view.excluded
+        if server.paused_until_s <= view.now_s
+        and not server.is_held_back(view.now_s)
+        and server.server_id not in view.excluded
     ]
 
 
--- a/src/boragespring/forwarding/probing.py
+++ b/src/boragespring/forwarding/probing.py
@@ -143,6 +143,8 @@
             for server in self._fleet.servers
             if not server.is_leaving
             and not server.is_paused(now_s)
+            # Its rate is left to requests, whose replies state as well that it leaves.
+            and server.rate_limit_per_s is None
             and self._serves_reports(server.registration.service)
             and is_responsible(server.server_id, self._local_name, peer_names)
         ]
--- a/src/boragespring/forwarding/server_statements.py
+++ b/src/boragespring/forwarding/server_statements.py
@@ -5,7 +5,7 @@
 from attrs import frozen
 
 from boragespring.decisions import DecisionLog
-from boragespring.fleet import BackendServer, Fleet
+from boragespring.fleet import BackendServer, Fleet, ServerProcess
 from boragespring.fleet.model import LeavingNotice
 
 __all__ = ["ServerStatement", "ServerStatements"]
@@ -49,6 +49,8 @@
         Known backend servers.
     notify_leaving : callable
         Notifies other gateways that a server is leaving.
+    notify_rate : callable
+        Notifies other gateways of the rate that a server takes.
     log : DecisionLog
         Log of unreadable statements and of notices that do not apply.
     """
@@ -57,10 +59,12 @@
         self,
         fleet: Fleet,
         notify_leaving: Callable[[LeavingNotice], None],
+        notify_rate: Callable[[ServerProcess, float | None], None],
         log: DecisionLog,
     ) -> None:
         self._fleet = fleet
         self._notify_leaving = notify_leaving
+        self._notify_rate = notify_rate
         self._log = log
 
     def apply(self, server: BackendServer, statement: ServerStatement) -> None:
@@ -93,7 +97,8 @@
         if statement.rate_limit_per_s is None and is_older:
             # The reply may have been written before the limit was named.
             return
-        self._fleet.limit_rate(server, statement.rate_limit_per_s)
+        if self._fleet.limit_rate(server, statement.rate_limit_per_s):
+            self._notify_rate(ServerProcess.of(server), statement.rate_limit_per_s)
 
     def on_notice(self, notice: LeavingNotice) -> None:
         """Apply the statement that a server made to another gateway."""
--- a/src/boragespring/forwarding/streaming.py
+++ b/src/boragespring/forwarding/streaming.py
@@ -11,6 +11,7 @@
 from boragespring.fleet.model import RunLoad
 from boragespring.forwarding.context import ForwardingContext
 from boragespring.forwarding.errors import (
+    RateLimitedError,
     ReplyBrokenError,
     ReplyLostError,
     ServerUnreachableError,
@@ -174,7 +175,12 @@
         while True:
             server = self._choose(job, history)
             if server is None:
-                return self._refuse_without_server(job)
+                found = await self._context.wait_for_server(
+                    job, history.excluded, self._rng
+                )
+                if not isinstance(found, BackendServer):
+                    return found or self._refuse_without_server(job)
+                server = found
             refusal = self._check_overload(job, server)
             refusal = refusal or self._context.refuse_prompt(job)
             if refusal is not None:
@@ -215,6 +221,7 @@
             excluded=history.excluded,
         )
         server = choose_server(call, view, self._context.placement)
+        self._context.want_permits(job)
         if server is not None:
             self._context.log.request(
                 "placed",
@@ -279,6 +286,8 @@
             is_open = True
             self._context.crash_detector.run_replied(server, job.request_id)
             return _OpenedReply(server, load, reply)
+        except RateLimitedError as error:
+            return str(error)
         except ServerUnreachableError as error:
             self._context.fleet.record_failure(server, str(error), is_certain=True)
             return f"unreachable: {error}"
--- a/src/boragespring/gateway_peers/__init__.py
+++ b/src/boragespring/gateway_peers/__init__.py
@@ -8,6 +8,7 @@
 from boragespring.gateway_peers.loads import LoadSharing, LoadSharingSettings
 from boragespring.gateway_peers.network import PeerNetwork, PeerNetworkSettings
 from boragespring.gateway_peers.presence import Presence, PresenceSettings
+from boragespring.gateway_peers.rate_sharing import RateSharing
 from boragespring.gateway_peers.store_snapshots import (
     SnapshotSharing,
     SnapshotSharingSettings,
@@ -28,6 +29,7 @@
     "PeerNetworkSettings",
     "Presence",
     "PresenceSettings",
+    "RateSharing",
     "SnapshotSharing",
     "SnapshotSharingSettings",
     "WatchRotation",
--- a/src/boragespring/gateway_peers/crash_sharing.py
+++ b/src/boragespring/gateway_peers/crash_sharing.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
+from boragespring.fleet import ServerProcess
 from boragespring.gateway_peers.messages import PromptCrashes
 from boragespring.gateway_peers.network import PeerNetwork
 from boragespring.links import Dispatcher, Link, LinkClosedError
@@ -12,7 +13,6 @@
     Crash,
     Prompt,
     PromptQuarantine,
-    ServerProcess,
 )
 
 __all__ = ["CrashSharing"]
--- a/src/boragespring/gateway_peers/messages.py
+++ b/src/boragespring/gateway_peers/messages.py
@@ -12,9 +12,12 @@
     "JoinRelay",
     "LeavingRunEnded",
     "LeavingRuns",
+    "PermitReply",
+    "PermitRequest",
     "PromptCrashes",
     "ReadSnapshot",
     "ServerLeaving",
+    "ServerRate",
     "ServerUnreachable",
     "StoreChanges",
 ]
@@ -210,3 +213,76 @@
 
     crashes: list[Any]
     clearances: list[Any]
+
+
+@message(153)
+class ServerRate:
+    """A server has named to the sender the rate of requests that it takes.
+
+    Parameters
+    ----------
+    server_id : str
+        Identifier of the server.
+    started_at_ms : int
+        Start time by the server's clock, which tells its processes apart.
+    is_limited : bool
+        Whether there is a limit.
+    rate_per_s : float
+        Requests per second from all gateways together, if there is a limit.
+    """
+
+    server_id: str
+    started_at_ms: int
+    is_limited: bool
+    rate_per_s: float
+
+
+@message(154)
+class PermitRequest:
+    """Question of a gateway whether it may send one request to a server.
+
+    Parameters
+    ----------
+    asker : str
+        Name of the gateway that asks.
+    number : int
+        Number of the question there.
+    server_id : str
+        Identifier of the server.
+    started_at_ms : int
+        Start time by the server's clock, which tells its processes apart.
+    rate_per_s : float
+        Requests per second that it takes.
+    max_wait_ms : int
+        Maximum time in milliseconds until the request may be sent.
+    """
+
+    asker: str
+    number: int
+    server_id: str
+    started_at_ms: int
+    rate_per_s: float
+    max_wait_ms: int
+
+
+@message(155)
+class PermitReply:
+    """Reply to `PermitRequest`.
+
+    Parameters
+    ----------
+    asker : str
+        Name of the gateway that asked.
+    number : int
+        Number of its question.
+    is_granted : bool
+        Whether one request may be sent.
+    in_ms : int
+        Time in milliseconds until it may be sent or, without a permit, until one would
+        be free.
+    """
+
+    asker: str
+    number: int
+    is_granted: bool
+    in_ms: int
--- a/src/boragespring/gateway_peers/network.py
+++ b/src/boragespring/gateway_peers/network.py
@@ -1,6 +1,7 @@
 """Links between gateways, and broadcasts over them by way of the relays."""
 
 import time
+from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any, TypeVar
 
@@ -164,6 +165,22 @@
             if relay.name in self._links or relay.name == self._local.name
         ]
 
+    def reachable_fraction(self) -> float:
+        """Return the fraction of all known gateways that this relay can reach.
+
+        A reachable relay stands for its part of the gateways of its zone.
+        """
+        known = {one.name: one for one in (*self._entries.entries, self._local)}
+        sizes = Counter(one.availability_zone for one in known.values())
+        relays_max = self._settings.topology.relays_per_zone
+        reached = sum(
+            sizes[relay.availability_zone]
+            / min(relays_max, sizes[relay.availability_zone])
+            for relay in self.reachable_relays()
+        )
+        # This gateway counts also while it knows no relay.
+        return min(1.0, max(1.0, reached) / sizes.total())
+
     def broadcast(self, message: Message, needs: RecipientFilter | None = None) -> None:
         """Send a message to all other gateways, or to those that need it."""
         self._send_upstream(message, needs)
--- a/src/boragespring/gateway_peers/tests/peer_fleet.py
+++ b/src/boragespring/gateway_peers/tests/peer_fleet.py
@@ -16,8 +16,14 @@
     LoadSharingSettings,
     PeerNetwork,
     PeerNetworkSettings,
+    RateSharing,
 )
 from boragespring.links import Dispatcher, LinkClosedError
+from boragespring.server_rates import (
+    RateHolder,
+    RateLimiterSettings,
+    ServerRateLimiter,
+)
 from boragespring.store.instances import Instance, InstanceRole
 
 LATENCY_S = 0.001
@@ -155,6 +161,13 @@
         )
         self.evacuations = EvacuationSharing(self.network, self.loads.has_load)
         self.evacuations.leaving_hooks.append(self._count_leaving)
+        sharing = RateSharing(self.fleet, self.dispatcher, self.network)
+        sharing.holder = RateHolder(clock=clock)
+        self.rates = ServerRateLimiter(
+            sharing, lambda: len(self.entries.entries), RateLimiterSettings(), clock
+        )
+        sharing.limiter = self.rates
+        self.notify_rate = sharing.notify_rate
         self.tasks = [
             asyncio.create_task(self.loads.run()),
             asyncio.create_task(self._refresh()),
--- a/src/boragespring/platform/server_calls.py
+++ b/src/boragespring/platform/server_calls.py
@@ -5,7 +5,7 @@
 import math
 import time
 from collections.abc import AsyncIterator, Callable
-from typing import Any
+from typing import Any, Protocol
 
 import aiohttp
 from aiohttp import hdrs
@@ -18,6 +18,7 @@
 from boragespring.forwarding import (
     Attempt,
     CopyRefusedError,
+    RateLimitedError,
     ReplyBrokenError,
     ReplyHead,
     ReplyLostError,
@@ -38,9 +39,24 @@
 _UNAVAILABLE = 503
 _LOGGED_VALUE_MAX_CHARACTERS = 40
 _IS_LEAVING = "1"
+#: Rate from which on a server counts as one that names none.
+UNLIMITED_RATE_PER_S = 10_000.0
 #: Maximum length of a header line in a reply.
 HEADER_LINE_MAX_BYTES = 32 * 1024
 
+
+class PermitTaker(Protocol):
+    """Decides whether a call to a server keeps the rate that the server takes."""
+
+    def __call__(self, server: BackendServer, *, is_forced: bool) -> bool:
+        """Count a call; return whether it may be made. A forced one always may."""
+        ...
+
+
+def _always_permit(server: BackendServer, *, is_forced: bool) -> bool:
+    return True
+
+
 #: Called with a server and what it states about itself.
 StatementHook = Callable[[BackendServer, ServerStatement], None]
 
@@ -105,10 +121,14 @@
         self._session: aiohttp.ClientSession | None = None
         #: Called with each reply's statement of the server about itself.
         self.statement_hooks: list[StatementHook] = []
+        #: Called before each call.
+        self.take_permit: PermitTaker = _always_permit
 
     async def send(self, server: BackendServer, attempt: Attempt) -> _HttpReply:
         """Send a request and wait for the status and headers of the reply."""
         request = attempt.request
+        # A run that was stopped for a move cannot wait.
+        self._take_permit(server, is_forced=attempt.resume is not None)
         sent_at_s = time.monotonic()
         url = URL(f"http://{server.address}{request.target}", encoded=True)
         try:
@@ -136,6 +156,7 @@
         body: dict[str, Any] = {"id": run_id, "target": str(target)}
         if is_last:
             body["last"] = True
+        self._take_permit(server, is_forced=False)
         status, reply = await self._call(server, "POST", "/kv-move", body)
         copy_id = str(reply.get("handle") or "")
         if status == _OK:
@@ -146,6 +167,7 @@
 
     async def is_responding(self, server: BackendServer) -> bool:
         """Return whether a server responds, with whatever status."""
+        self._take_permit(server, is_forced=True)
         try:
             await self._exchange(
                 server, "GET", "/report", None, self._settings.report_timeout_s
@@ -156,6 +178,7 @@
 
     async def is_refusing(self, server: BackendServer) -> bool:
         """Return whether the address of a server refuses connections."""
+        self._take_permit(server, is_forced=True)
         try:
             await self._exchange(
                 server, "GET", "/report", None, self._settings.report_timeout_s
@@ -171,6 +194,7 @@
 
         The report may be a few hundred milliseconds old.
         """
+        self._take_permit(server, is_forced=False)
         status, body = await self._call(
             server, "GET", "/report", None, self._settings.report_timeout_s
         )
@@ -232,6 +256,10 @@
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
             raise ReplyLostError(_describe(error)) from error
 
+    def _take_permit(self, server: BackendServer, *, is_forced: bool) -> None:
+        if not self.take_permit(server, is_forced=is_forced):
+            raise RateLimitedError(f"{server.server_id} takes no more requests now")
+
     def _pass_on_statement(
         self,
         server: BackendServer,
@@ -311,11 +339,12 @@
     retry_after_s = _parse_number(retry_after)
     rate_limit = headers.get(names.SERVER_LIMIT, "").strip()
     rate_limit_per_s = _parse_number(rate_limit)
+    is_unlimited = (rate_limit_per_s or 0.0) >= UNLIMITED_RATE_PER_S
     return ServerStatement(
         is_leaving=headers.get(names.SERVER_LEAVING, "").strip() == _IS_LEAVING,
         retry_after_s=retry_after_s,
         unreadable_retry_after=_unreadable(retry_after, retry_after_s),
-        rate_limit_per_s=rate_limit_per_s,
+        rate_limit_per_s=None if is_unlimited else rate_limit_per_s,
         unreadable_rate_limit=_unreadable(rate_limit, rate_limit_per_s),
         sent_at_s=sent_at_s,
     )
--- a/src/boragespring/quarantine/__init__.py
+++ b/src/boragespring/quarantine/__init__.py
@@ -10,7 +10,7 @@
     CrashArchive,
     CrashArchiveSettings,
 )
-from boragespring.quarantine.crashes import Crash, Prompt, ServerProcess
+from boragespring.quarantine.crashes import Crash, Prompt
 from boragespring.quarantine.culprits import Culprit, CulpritSettings, find_culprits
 from boragespring.quarantine.evidence import (
     Clearance,
@@ -37,6 +37,5 @@
     "PromptQuarantine",
     "QuarantineDecision",
     "QuarantineSettings",
-    "ServerProcess",
     "find_culprits",
 ]
--- a/src/boragespring/quarantine/archive.py
+++ b/src/boragespring/quarantine/archive.py
@@ -13,7 +13,8 @@
 
 from boragespring.decisions import DecisionLog
 from boragespring.event_loop import sleep_until_tick
-from boragespring.quarantine.crashes import Crash, ServerProcess
+from boragespring.fleet import ServerProcess
+from boragespring.quarantine.crashes import Crash
 from boragespring.quarantine.quarantine import PromptQuarantine
 from boragespring.store import KeyValue, KeyValueStore, StoreError
 from boragespring.store.store import ABSENT_REVISION, ConditionalWrite, WatchEvent
--- a/src/boragespring/quarantine/crashes.py
+++ b/src/boragespring/quarantine/crashes.py
@@ -2,35 +2,14 @@
 
 from attrs import frozen
 
-from boragespring.fleet import BackendServer
+from boragespring.fleet import ServerProcess
 
-__all__ = ["Crash", "Prompt", "ServerProcess"]
+__all__ = ["Crash", "Prompt"]
 
 #: Identifiers of the parts of a prompt that other requests may share.
 Prompt = frozenset[str]
 
 
-@frozen
-class ServerProcess:
-    """One process of a backend server.
-
-    Parameters
-    ----------
-    server_id : str
-        Identifier of the server, under which it may be started again.
-    started_at_ms : int
-        Start time by the server's clock; compared for equality only.
-    """
-
-    server_id: str
-    started_at_ms: int
-
-    @classmethod
-    def of(cls, server: BackendServer) -> "ServerProcess":
-        """Return the present process of a server."""
-        return cls(server.server_id, server.registration.started_at_ms)
-
-
 @frozen
 class Crash:
     """Crash of a server process.
--- a/src/boragespring/quarantine/evidence.py
+++ b/src/boragespring/quarantine/evidence.py
@@ -10,7 +10,8 @@
 
 from attrs import define, evolve, field, frozen
 
-from boragespring.quarantine.crashes import Crash, Prompt, ServerProcess
+from boragespring.fleet import ServerProcess
+from boragespring.quarantine.crashes import Crash, Prompt
 
 __all__ = ["Clearance", "CrashEvidence", "EvidenceSettings"]
 
--- a/src/boragespring/quarantine/tests/support.py
+++ b/src/boragespring/quarantine/tests/support.py
@@ -1,6 +1,7 @@
 """Crashes for the tests of this package."""
 
-from boragespring.quarantine import Crash, CrashEvidence, ServerProcess
+from boragespring.fleet import ServerProcess
+from boragespring.quarantine import Crash, CrashEvidence
 
 SERVICE = "models"
 
--- a/src/boragespring/quarantine/tests/test_culprits.py
+++ b/src/boragespring/quarantine/tests/test_culprits.py
@@ -5,11 +5,11 @@
 
 import pytest
 
+from boragespring.fleet import ServerProcess
 from boragespring.quarantine import (
     Clearance,
     CulpritSettings,
     EvidenceSettings,
-    ServerProcess,
     find_culprits,
 )
 from boragespring.quarantine.tests.support import (
--- a/src/boragespring/rendezvous.py
+++ b/src/boragespring/rendezvous.py
@@ -4,7 +4,24 @@
 
 import xxhash
 
-__all__ = ["is_responsible"]
+__all__ = ["choose_responsible", "is_responsible"]
+
+
+def choose_responsible(key: str, names: Iterable[str]) -> str:
+    """Return the process that is responsible for a key.
+
+    Parameters
+    ----------
+    key : str
+        Key to assign to one process.
+    names : iterable of str
+        Names of all processes; at least one.
+    """
+
+    def rank(name: str) -> int:
+        return xxhash.xxh32_intdigest(f"{key} {name}".encode())
+
+    return min(names, key=rank)
 
 
 def is_responsible(key: str, local_name: str, peer_names: Iterable[str]) -> bool:
@@ -19,8 +36,4 @@
     peer_names : iterable of str
         Names of the other processes.
     """
-
-    def rank(name: str) -> int:
-        return xxhash.xxh32_intdigest(f"{key} {name}".encode())
-
-    return all(rank(local_name) <= rank(name) for name in peer_names)
+    return choose_responsible(key, [local_name, *peer_names]) == local_name
