--- a/src/boragespring/platform/soak/callers.py
+++ b/src/boragespring/platform/soak/callers.py
@@ -21,10 +21,9 @@
 EVENTS_MAX = 200
 TOKENS_PER_EVENT = 4
 KEYS = ("key-1", "key-2", "key-3")
-#: Part of the prompts with which a run crashes its engine during some faults, time in
-#: seconds for which it does, and time between two requests with it.
+#: Part of the prompts with which a run crashes its engine during some faults, and time
+#: between two requests with it.
 CRASHING_PART = "crashing"
-CRASHING_S = 6.0
 CRASHING_INTERVAL_S = 0.12
 #: Number of parts with which prompts begin.
 FIRST_PARTS = 3
--- a/src/boragespring/platform/soak/injector.py
+++ b/src/boragespring/platform/soak/injector.py
@@ -9,13 +9,18 @@
 
 from boragespring.platform.emulator import ServiceFault, StoreMode
 from boragespring.platform.names import REGISTRATION_PREFIX
-from boragespring.platform.soak.callers import CRASHING_PART, CRASHING_S
+from boragespring.platform.soak.callers import CRASHING_PART
 from boragespring.platform.soak.deployment import (
     CATALOG_DELAY_S,
     SoakDeployment,
     SoakGateway,
 )
-from boragespring.platform.soak.schedule import SoakFault, SoakFaultKind
+from boragespring.platform.soak.rate_verdict import NamedRate
+from boragespring.platform.soak.schedule import (
+    LONG_DURATIONS_S,
+    SoakFault,
+    SoakFaultKind,
+)
 from boragespring.platform.soak.verdict import KeyRemoval
 
 __all__ = ["SoakInjector"]
@@ -28,6 +33,7 @@
 #: Time after the return of the store in which servers and operator write again.
 REWRITE_DELAY_S = 0.8
 PAUSE_S = "1.0"
+NAMED_RATES_PER_S = (0.3, 1.7, 4.5)
 #: Breaking off happens within one of the first events of a stream.
 BROKEN_EVENTS_MAX = 20
 #: Tolerance beyond the time bound within which a change has to take effect.
@@ -68,11 +74,14 @@
         All faults of the run.
     removals : list of KeyRemoval
         API keys that were removed so far.
+    named_rates : list of NamedRate
+        Rates that servers have named so far.
     """
 
     deployment: SoakDeployment
     faults: tuple[SoakFault, ...]
     removals: list[KeyRemoval] = field(factory=list)
+    named_rates: list[NamedRate] = field(factory=list)
     _store_lock: asyncio.Lock = field(factory=asyncio.Lock)
     _handlers: dict[SoakFaultKind, Callable[[SoakFault], Awaitable[None]]] = field(
         init=False
@@ -103,6 +112,7 @@
             SoakFaultKind.SERVER_LEAVING: self._state_leaving,
             SoakFaultKind.SERVER_PAUSED: self._pause_service,
             SoakFaultKind.PROMPT_CRASHES: self._crash_by_prompt,
+            SoakFaultKind.SERVER_LIMITED: self._name_rate,
         }
 
     async def run(self) -> None:
@@ -292,9 +302,24 @@
     async def _crash_by_prompt(self, fault: SoakFault) -> None:
         """Let runs with one part in their prompts crash their engines."""
         self.deployment.platform.crashing_parts.add(CRASHING_PART)
-        await asyncio.sleep(CRASHING_S)
+        await asyncio.sleep(LONG_DURATIONS_S[fault.kind])
         self.deployment.platform.crashing_parts.clear()
 
+    async def _name_rate(self, fault: SoakFault) -> None:
+        """Let one service name a rate in its replies, unless another one does."""
+        services = list(self.deployment.platform.services.values())
+        if any(service.rate_limit for service in services):
+            return
+        service = services[fault.choice % len(services)]
+        rate_per_s = NAMED_RATES_PER_S[fault.choice % len(NAMED_RATES_PER_S)]
+        service.rate_limit = str(rate_per_s)
+        began_at_s = time.monotonic()
+        await asyncio.sleep(LONG_DURATIONS_S[fault.kind])
+        service.rate_limit = ""
+        self.named_rates.append(
+            NamedRate(service.server_id, rate_per_s, began_at_s, time.monotonic())
+        )
+
     async def _pause_service(self, fault: SoakFault) -> None:
         """Let one service reject all requests and ask for a pause."""
         services = list(self.deployment.platform.services.values())
--- a/src/boragespring/platform/soak/runner.py
+++ b/src/boragespring/platform/soak/runner.py
@@ -8,13 +8,14 @@
 from pathlib import Path
 
 from boragespring.faults import Breach, RunReport
-from boragespring.platform.soak.callers import CRASHING_S, Callers
+from boragespring.platform.soak.callers import Callers
 from boragespring.platform.soak.deployment import SoakDeployment
 from boragespring.platform.soak.injector import SoakInjector
+from boragespring.platform.soak.rate_verdict import check_named_rates
 from boragespring.platform.soak.schedule import (
+    LONG_DURATIONS_S,
     PLANNED_KINDS,
     SoakFault,
-    SoakFaultKind,
     generate_faults,
 )
 from boragespring.platform.soak.verdict import SoakBreachKind, check_guarantees
@@ -71,6 +72,9 @@
         ]
         is_planned = all(fault.kind in PLANNED_KINDS for fault in faults)
         records = callers.records
+        breaches += check_named_rates(
+            records, deployment.platform, injector.named_rates
+        )
         breaches += check_guarantees(
             records, deployment.platform, injector.removals, is_planned
         )
@@ -82,8 +86,8 @@
 def _traffic_s(faults: Iterable[SoakFault]) -> float:
     """Return the time in seconds for which requests are sent beside the faults."""
     ends_s = (
-        fault.start_s + CRASHING_S
+        fault.start_s + LONG_DURATIONS_S[fault.kind]
         for fault in faults
-        if fault.kind is SoakFaultKind.PROMPT_CRASHES
+        if fault.kind in LONG_DURATIONS_S
     )
     return max(TRAFFIC_S, *ends_s, 0.0)
--- a/src/boragespring/platform/soak/schedule.py
+++ b/src/boragespring/platform/soak/schedule.py
@@ -6,7 +6,13 @@
 
 from boragespring.faults import SeededFault
 
-__all__ = ["PLANNED_KINDS", "SoakFault", "SoakFaultKind", "generate_faults"]
+__all__ = [
+    "LONG_DURATIONS_S",
+    "PLANNED_KINDS",
+    "SoakFault",
+    "SoakFaultKind",
+    "generate_faults",
+]
 
 
 class SoakFaultKind(StrEnum):
@@ -35,6 +41,7 @@
     SERVER_LEAVING = "server_states_its_leaving"
     SERVER_PAUSED = "server_asks_for_a_pause"
     PROMPT_CRASHES = "prompts_crash_engines"
+    SERVER_LIMITED = "server_names_a_rate"
 
 
 #: Planned operations, which alone must not truncate any response.
@@ -61,12 +68,17 @@
 #: before still play what they played then.
 ADDED_SEED_MIN = 5000
 #: The same for kinds that were added later still.
-LATER_KINDS = (SoakFaultKind.PROMPT_CRASHES,)
-LATER_FAULTS_MAX = 1
+LATER_KINDS = (SoakFaultKind.PROMPT_CRASHES, SoakFaultKind.SERVER_LIMITED)
+LATER_FAULTS_MAX = 2
 LATER_SEED_MIN = 100_000
 
 FAULTS_MIN, FAULTS_MAX = 2, 4
 START_MIN_S, START_MAX_S = 0.2, 3.0
+#: Durations in seconds of the faults whose guarantees need time to be checked.
+LONG_DURATIONS_S = {
+    SoakFaultKind.PROMPT_CRASHES: 6.0,
+    SoakFaultKind.SERVER_LIMITED: 8.0,
+}
 DURATION_MIN_S, DURATION_MAX_S = 0.2, 2.0
 #: Seeds that are a multiple of this number generate planned operations only.
 PLANNED_SEED_INTERVAL = 4
