--- a/src/boragespring/forwarding/events.py
+++ b/src/boragespring/forwarding/events.py
@@ -2,8 +2,12 @@
 
 from attrs import define, frozen
 
+from boragespring.forwarding.errors import ReplyBrokenError
+
 __all__ = ["EventSplitter", "StreamEvent"]
 
+#: Maximum size of one event.
+EVENT_MAX_BYTES = 2**20
 _DELIMITERS = (b"\n\n", b"\r\n\r\n")
 _LINE_BREAKS = b"\r\n"
 _ID_FIELD = b"id:"
@@ -43,12 +47,20 @@
         return bool(self.remainder.strip(_LINE_BREAKS))
 
     def feed(self, data: bytes) -> list[StreamEvent]:
-        """Append bytes and return the events that are now complete."""
+        """Append bytes and return the events that are now complete.
+
+        Raises
+        ------
+        ReplyBrokenError
+            If an event is too large to hold.
+        """
         self.remainder += data
         events: list[StreamEvent] = []
         while (end := _first_event_end(self.remainder)) > 0:
             events.append(_parse_event(self.remainder[:end]))
             self.remainder = self.remainder[end:]
+        if len(self.remainder) > EVENT_MAX_BYTES:
+            raise ReplyBrokenError(f"an event of more than {EVENT_MAX_BYTES} bytes")
         return events
 
 
--- a/src/boragespring/forwarding/tests/test_events.py
+++ b/src/boragespring/forwarding/tests/test_events.py
@@ -4,7 +4,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from boragespring.forwarding.events import EventSplitter
+from boragespring.forwarding import ReplyBrokenError
+from boragespring.forwarding.events import EVENT_MAX_BYTES, EventSplitter
 
 EVENTS = [
     b"id: 1\ndata: a\n\n",
@@ -49,3 +50,11 @@
     splitter = EventSplitter()
     splitter.feed(data)
     assert splitter.is_within_event is is_within_event
+
+
+def test_event_without_end_is_not_held():
+    splitter = EventSplitter()
+    with pytest.raises(ReplyBrokenError):
+        for _ in range(2 * EVENT_MAX_BYTES // 65536):
+            splitter.feed(b"data: " + b"x" * 65530)
+    assert len(splitter.remainder) <= EVENT_MAX_BYTES + 65536
