--- a/src/boragespring/engines/engine_client.py
+++ b/src/boragespring/engines/engine_client.py
@@ -1,5 +1,6 @@
 """HTTP client of model engines of any vendor."""
 
+import json
 import time
 from collections.abc import AsyncGenerator
 from http import HTTPStatus
@@ -31,6 +32,7 @@
     create_vendor,
     parse_token_batch,
 )
+from boragespring.http.bounded_reply import read_body
 
 __all__ = [
     "EngineClientSettings",
@@ -40,6 +42,8 @@
 ]
 
 MAX_ERROR_DETAIL_CHARACTERS = 200
+#: Maximum size of a load report, list of models or error reply.
+REPORT_MAX_BYTES = 2**20
 
 
 class RequestRejectedError(CallNotRunError):
@@ -139,7 +143,7 @@
         try:
             async with self.session.get(url, timeout=timeout) as response:
                 response.raise_for_status()
-                text = await response.text()
+                text = (await read_body(response, REPORT_MAX_BYTES)).decode()
         except (aiohttp.ClientError, TimeoutError, UnicodeDecodeError) as error:
             raise LoadReportError(LoadReportFault.UNREACHABLE, str(error)) from error
         raw = RawLoadReport(text, response.headers, time.monotonic())
@@ -159,7 +163,8 @@
                 f"{self.base_url}/v1/models", timeout=timeout
             ) as response:
                 response.raise_for_status()
-                entries = (await response.json())["data"]
+                body = await read_body(response, REPORT_MAX_BYTES)
+                entries = json.loads(body)["data"]
                 return tuple(str(entry["id"]) for entry in entries)
         except (aiohttp.ClientError, TimeoutError, ValueError) as error:
             raise EngineError(f"cannot list models: {error}") from error
@@ -183,7 +188,9 @@
                 url, json=asdict(order), timeout=timeout
             ) as response:
                 if response.status >= HTTPStatus.BAD_REQUEST:
-                    detail = (await response.text())[:MAX_ERROR_DETAIL_CHARACTERS]
+                    body = await read_body(response, REPORT_MAX_BYTES)
+                    text = body.decode(errors="replace")
+                    detail = text[:MAX_ERROR_DETAIL_CHARACTERS]
                     raise OrderRefusedError(f"{response.status}: {detail}")
         except aiohttp.ClientConnectorError as error:
             raise OrderRefusedError(str(error)) from error
--- a/src/boragespring/engines/service_client.py
+++ b/src/boragespring/engines/service_client.py
@@ -19,10 +19,15 @@
     parse_load_report,
 )
 from boragespring.engines.vendors import Orca
+from boragespring.http.bounded_reply import read_body
 from boragespring.http.reply_end import ReplyEnd
 
 __all__ = ["HttpServiceClient", "ServiceClientSettings", "create_service_client"]
 
+#: Maximum size of a reply, and of the body that comes with a load report.
+BODY_MAX_BYTES = 8 * 2**20
+REPORT_MAX_BYTES = 2**20
+
 
 @frozen
 class ServiceClientSettings:
@@ -87,7 +92,7 @@
                 allow_redirects=False,
             ) as response:
                 reply_end = ReplyEnd(response)
-                body = await response.read()
+                body = await read_body(response, BODY_MAX_BYTES)
                 await reply_end.check()
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise CallNotRunError(f"cannot connect to the service: {error}") from error
@@ -109,7 +114,7 @@
         url = self.base_url + self.settings.report_path
         try:
             async with self.session.get(url, timeout=timeout) as response:
-                await response.read()
+                await read_body(response, REPORT_MAX_BYTES)
         except (aiohttp.ClientError, TimeoutError) as error:
             raise LoadReportError(LoadReportFault.UNREACHABLE, str(error)) from error
         raw = RawLoadReport("", response.headers, time.monotonic())
--- a/src/boragespring/platform/server_calls.py
+++ b/src/boragespring/platform/server_calls.py
@@ -27,6 +27,7 @@
     ServerStatement,
     ServerUnreachableError,
 )
+from boragespring.http.bounded_reply import read_body
 from boragespring.http.reply_end import ReplyEnd, ReplyFraming
 from boragespring.platform import names
 from boragespring.platform.sockets import create_socket
@@ -43,6 +44,8 @@
 UNLIMITED_RATE_PER_S = 10_000.0
 #: Maximum length of a header line in a reply.
 HEADER_LINE_MAX_BYTES = 32 * 1024
+#: Maximum size of a load report or of the reply to a copy.
+BODY_MAX_BYTES = 2**20
 
 
 class PermitTaker(Protocol):
@@ -250,7 +253,7 @@
                 method, url, json=body, timeout=timeout
             ) as response:
                 self._pass_on_statement(server, response, sent_at_s)
-                return response.status, await response.read()
+                return response.status, await read_body(response, BODY_MAX_BYTES)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise _unreachable(error) from error
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
--- a/src/boragespring/platform/store_client.py
+++ b/src/boragespring/platform/store_client.py
@@ -10,6 +10,7 @@
 import aiohttp
 from attrs import frozen
 
+from boragespring.http.bounded_reply import read_body
 from boragespring.platform import names
 from boragespring.platform.sockets import create_socket
 from boragespring.store.store import (
@@ -30,6 +31,8 @@
 
 __all__ = ["PlatformStore", "PlatformStoreSettings"]
 
+#: Maximum size of a reply. A page of a range holds 1 MB of values, before encoding.
+BODY_MAX_BYTES = 8 * 2**20
 _OK = 200
 _NOT_FOUND = 404
 _GONE = 410
@@ -257,7 +260,7 @@
         ) as response:
             return _StoreReply(
                 response.status,
-                _parse_object(await response.read()),
+                _parse_object(await read_body(response, BODY_MAX_BYTES)),
                 _parse_era(response.headers.get(names.STORE_ERA)),
             )
 
--- a/src/boragespring/store/etcd.py
+++ b/src/boragespring/store/etcd.py
@@ -10,6 +10,7 @@
 import aiohttp
 from attrs import frozen
 
+from boragespring.http.bounded_reply import read_body
 from boragespring.store.json_gateway import (
     CODE_INVALID_ARGUMENT,
     CODE_NOT_FOUND,
@@ -45,6 +46,8 @@
 #: up to 1 MB each, encoded as base64.
 _WATCH_BUFFER_BYTES = 16 * 1024 * 1024
 
+#: Maximum size of the reply to a call.
+REPLY_MAX_BYTES = 16 * 2**20
 _HTTP_OK = 200
 #: gRPC status codes that show that a call was refused without being executed: invalid
 #: argument, not found, resource exhausted, failed precondition, out of range,
@@ -191,7 +194,7 @@
         async with self._get_session().post(
             url + path, json=body, timeout=self._call_timeout()
         ) as response:
-            payload = await response.read()
+            payload = await read_body(response, REPLY_MAX_BYTES)
             if response.status != _HTTP_OK:
                 raise _error_from_response(response.status, payload)
             return json.loads(payload)
@@ -252,7 +255,7 @@
                 url + "/v3/watch", json=body, timeout=timeout
             ) as response:
                 if response.status != _HTTP_OK:
-                    payload = await response.read()
+                    payload = await read_body(response, REPLY_MAX_BYTES)
                     raise _error_from_response(response.status, payload)
                 yield response
         except (aiohttp.ClientError, TimeoutError, ValueError, _RefusedError) as error:
--- a/src/boragespring/store/instances_http.py
+++ b/src/boragespring/store/instances_http.py
@@ -1,15 +1,19 @@
 """HTTP client of the platform's instance list."""
 
+import json
 from http import HTTPStatus
 from typing import Any
 
 import aiohttp
 import cattrs
 
+from boragespring.http.bounded_reply import read_body
 from boragespring.store.instances import Instance, InstanceListError
 
 __all__ = ["HttpInstanceList", "instances_from_json", "instances_to_json"]
 
+#: Maximum size of the list.
+LIST_MAX_BYTES = 16 * 2**20
 _CONVERTER = cattrs.Converter(forbid_extra_keys=True)
 
 
@@ -61,7 +65,8 @@
                 self._url, headers=headers, raise_for_status=True
             ) as response:
                 if response.status != HTTPStatus.NOT_MODIFIED:
-                    self._last_instances = instances_from_json(await response.json())
+                    body = await read_body(response, LIST_MAX_BYTES)
+                    self._last_instances = instances_from_json(json.loads(body))
                     self._entity_tag = response.headers.get("ETag", "")
                 return self._last_instances
         except (aiohttp.ClientError, TimeoutError) as error:
