--- a/src/boragespring/platform/server_calls.py
+++ b/src/boragespring/platform/server_calls.py
@@ -27,7 +27,7 @@
     ServerStatement,
     ServerUnreachableError,
 )
-from boragespring.http.bounded_reply import read_body
+from boragespring.http.bounded_reply import create_connector, read_body
 from boragespring.http.reply_end import ReplyEnd, ReplyFraming
 from boragespring.platform import names
 from boragespring.platform.sockets import create_socket
@@ -279,7 +279,7 @@
     def _get_session(self) -> aiohttp.ClientSession:
         if self._session is None:
             self._session = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(
+                connector=create_connector(
                     force_close=True, limit=0, socket_factory=create_socket
                 ),
                 cookie_jar=aiohttp.DummyCookieJar(),
--- a/src/boragespring/platform/store_client.py
+++ b/src/boragespring/platform/store_client.py
@@ -10,7 +10,7 @@
 import aiohttp
 from attrs import frozen
 
-from boragespring.http.bounded_reply import read_body
+from boragespring.http.bounded_reply import create_connector, read_body
 from boragespring.platform import names
 from boragespring.platform.sockets import create_socket
 from boragespring.store.store import (
@@ -266,7 +266,7 @@
 
     def _get_session(self) -> aiohttp.ClientSession:
         if self._session is None:
-            connector = aiohttp.TCPConnector(socket_factory=create_socket, limit=0)
+            connector = create_connector(socket_factory=create_socket, limit=0)
             self._session = aiohttp.ClientSession(connector=connector)
         return self._session
 
--- a/src/boragespring/platform/tests/test_endless_replies.py
+++ b/src/boragespring/platform/tests/test_endless_replies.py
@@ -32,6 +32,7 @@
     "chunks": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
     "field": b"HTTP/1.1 200 OK\r\nX-Endless: ",
     "fields": b"HTTP/1.1 200 OK\r\n",
+    "interim": b"",
 }
 BODY_PIECE = b"x" * 65536
 PIECES = {
@@ -40,6 +41,7 @@
     "chunks": b"10000\r\n" + BODY_PIECE + b"\r\n",
     "field": BODY_PIECE,
     "fields": b"X-Field: value\r\n" * 4096,
+    "interim": b"HTTP/1.1 102 Processing\r\n\r\n" * 2400,
 }
 
 
