--- a/src/boragespring/platform/soak/callers.py
+++ b/src/boragespring/platform/soak/callers.py
@@ -72,6 +72,11 @@
         Whether the complete response was received.
     is_ended : bool
         Whether the response or the connection ended before the timeout.
+    was_in_rotation : bool
+        Whether the gateway was in rotation when the request was sent. If none is, any
+        gateway is called.
+    is_connection_refused : bool
+        Whether no connection was established, so that nobody read the request.
     disconnects_early : bool
         Whether the caller disconnects on purpose.
     headers : dict of str to str
@@ -91,6 +96,8 @@
     reply_request_id: str = ""
     is_complete: bool = False
     is_ended: bool = False
+    was_in_rotation: bool = True
+    is_connection_refused: bool = False
     disconnects_early: bool = False
     ended_at_s: float = 0.0
     headers: dict[str, str] = field(factory=dict)
@@ -150,6 +157,7 @@
                 parts=(f"first-{number % FIRST_PARTS}", CRASHING_PART),
                 expected_events=EVENTS_MAX // 10,
                 gateway_start_count=gateway.start_count,
+                was_in_rotation=gateway.is_in_rotation,
             )
             self.records.append(record)
             group.create_task(self._call(session, record))
@@ -164,6 +172,7 @@
             gateway=gateway,
             sent_at_s=time.monotonic(),
             gateway_start_count=gateway.start_count,
+            was_in_rotation=gateway.is_in_rotation,
         )
         if kind is RequestKind.DRAFT:
             record.expected_events = self._rng.randint(1, EVENTS_MAX)
@@ -181,8 +190,11 @@
         try:
             async with asyncio.timeout(timeout_s):
                 await self._send_request(session, record, remaining_s)
-        except (aiohttp.ClientError, OSError):
+        except (aiohttp.ClientError, OSError) as error:
             record.is_ended = True
+            record.is_connection_refused = isinstance(
+                error, aiohttp.ClientConnectorError
+            )
         except TimeoutError:
             record.is_ended = record.disconnects_early
         record.ended_at_s = time.monotonic()
