--- a/src/boragespring/composition/gateway.py
+++ b/src/boragespring/composition/gateway.py
@@ -166,7 +166,7 @@
         reload_hooks=(apply_bounds,),
         leave_hooks=(load_sharing.leave,),
         status=partial(_status, catalog_holder, fleet),
-        close_hooks=(*store_sync.close_hooks, calls.close),
+        close_hooks=(*store_sync.close_hooks, crash_detector.close, calls.close),
         # Decides readiness by its catalog, and on shutdown refuses requests whose
         # reply could be interrupted.
         validator=validator,
@@ -204,6 +204,9 @@
     )
     crash_detector.crash_hooks.append(quarantine.record_crash)
     crash_detector.sound_hooks.append(quarantine.record_sound_run)
+    quarantine.culprit_hooks.append(
+        lambda culprit: crash_detector.cancel_waiting(culprit.matches)
+    )
     CrashSharing(quarantine, peers.dispatcher, peers.network)
     return quarantine
 
--- a/src/boragespring/forwarding/buffered.py
+++ b/src/boragespring/forwarding/buffered.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import time
+from functools import partial
 
 from attrs import define, field, frozen
 
@@ -192,11 +193,13 @@
         progress.excluded.add(server.server_id)
         now_s = time.monotonic()
         server.runs[job.request_id] = RunLoad(0, 0.0, now_s)
-        self._context.crash_detector.run_sent(server, job)
         try:
             async with asyncio.timeout_at(
                 self._attempt_deadline_s(job, progress, now_s)
-            ):
+            ) as scope:
+                self._context.crash_detector.run_sent(
+                    server, job, partial(scope.reschedule, 0.0)
+                )
                 outcome = await self._exchange(job, server)
         except TimeoutError:
             outcome = _ReplyLost("no reply in time")
--- a/src/boragespring/forwarding/crash_detection.py
+++ b/src/boragespring/forwarding/crash_detection.py
@@ -26,6 +26,10 @@
 SoundHook = Callable[[str, Prompt, float], None]
 
 
+def _do_nothing() -> None:
+    """Do nothing; the default for a run that cannot be cancelled."""
+
+
 class RefusalCheck(Protocol):
     """Client that checks whether a server still accepts connections."""
 
@@ -60,6 +64,7 @@
 
     service: str
     prompt: Prompt
+    cancel: Callable[[], None]
     has_reply: bool = False
     events: int = 0
     began_at_s: float = float("inf")
@@ -106,13 +111,28 @@
         self.crash_hooks: list[CrashHook] = []
         self.sound_hooks: list[SoundHook] = []
 
-    def run_sent(self, server: BackendServer, job: Job) -> None:
-        """Start tracking a run that is sent to a server."""
+    def run_sent(
+        self,
+        server: BackendServer,
+        job: Job,
+        cancel: Callable[[], None] = _do_nothing,
+    ) -> None:
+        """Start tracking a run that is sent to a server.
+
+        Parameters
+        ----------
+        server : BackendServer
+            Server of the run.
+        job : Job
+            Request of the run.
+        cancel : callable, optional
+            Closes the connection of the run while it has no reply.
+        """
         prompt = job.shared_prompt
         if not prompt:
             return
         runs = self._runs.setdefault(ServerProcess.of(server), _ServerRuns())
-        runs.starting[job.request_id] = _StartingRun(job.service.name, prompt)
+        runs.starting[job.request_id] = _StartingRun(job.service.name, prompt, cancel)
 
     def is_starting(self, server: BackendServer, run_id: str) -> bool:
         """Return whether a run is tracked that has not proved to be sound."""
@@ -172,6 +192,19 @@
             runs.check = asyncio.create_task(self._check(server, process, runs))
         self._drop_if_idle(process, runs)
 
+    def cancel_waiting(self, is_hazardous: Callable[[str, Prompt], bool]) -> None:
+        """Cancel runs without a reply, before they begin and crash their servers.
+
+        Parameters
+        ----------
+        is_hazardous : callable
+            Returns whether a prompt is held to crash the servers of a service.
+        """
+        for runs in self._runs.values():
+            for run in runs.starting.values():
+                if not run.has_reply and is_hazardous(run.service, run.prompt):
+                    run.cancel()
+
     async def has_crashed(self, server: BackendServer) -> bool:
         """Wait for the check of a server that is under way, and return its result."""
         runs = self._runs.get(ServerProcess.of(server))
@@ -179,6 +212,13 @@
             return False
         return await asyncio.shield(runs.check)
 
+    async def close(self) -> None:
+        """Cancel the checks that are under way."""
+        checks = [runs.check for runs in self._runs.values() if runs.check is not None]
+        for check in checks:
+            check.cancel()
+        await asyncio.gather(*checks, return_exceptions=True)
+
     async def _check(
         self, server: BackendServer, process: ServerProcess, runs: _ServerRuns
     ) -> bool:
--- a/src/boragespring/forwarding/streaming.py
+++ b/src/boragespring/forwarding/streaming.py
@@ -4,6 +4,7 @@
 import random
 import time
 from enum import Enum, auto
+from functools import partial
 
 from attrs import define, field, frozen
 
@@ -270,11 +271,14 @@
         prompt = job.request.prompt or _NO_PROMPT
         load = RunLoad(prompt.prompt_tokens, prompt.output_tokens, time.monotonic())
         server.runs[job.request_id] = load
-        self._context.crash_detector.run_sent(server, job)
         self._context.notify_loads()
         is_open = False
         try:
-            reply = await self._context.calls.send(server, job.attempt())
+            async with asyncio.timeout(None) as scope:
+                self._context.crash_detector.run_sent(
+                    server, job, partial(scope.reschedule, 0.0)
+                )
+                reply = await self._context.calls.send(server, job.attempt())
             head = reply.head
             if head.was_not_run or head.is_misdirected:
                 reply.close()
@@ -286,6 +290,9 @@
             is_open = True
             self._context.crash_detector.run_replied(server, job.request_id)
             return _OpenedReply(server, load, reply)
+        except TimeoutError:
+            # Cancelled by the crash detector. The server may have begun the run.
+            return Refusal(RefusalReason.QUARANTINED, was_not_run=False)
         except RateLimitedError as error:
             return str(error)
         except ServerUnreachableError as error:
--- a/src/boragespring/platform/tests/test_crashing_prompts.py
+++ b/src/boragespring/platform/tests/test_crashing_prompts.py
@@ -7,6 +7,7 @@
 
 from boragespring.child_processes import free_ports
 from boragespring.platform import names
+from boragespring.platform.emulator import EngineSpec
 from boragespring.platform.tests.support import (
     deployment,
     log_records,
@@ -18,22 +19,22 @@
 BAD = "bad1"
 
 
-def crashing_headers(request_id, *parts, output_tokens=20):
+def crashing_headers(request_id, *parts, output_tokens=20, prompt_tokens=200):
     prompt = ",".join(f"{part}:20" for part in (*parts, f"own-{request_id}"))
     return request_headers(
         request_id,
         remaining_ms=8_000,
         **{
             names.MODEL: "m",
-            names.TOKEN_COUNTS: f"200,{output_tokens}",
+            names.TOKEN_COUNTS: f"{prompt_tokens},{output_tokens}",
             names.PROMPT_PARTS: prompt,
         },
     )
 
 
-async def send(session, process, request_id, *parts, output_tokens=20):
+async def send(session, process, request_id, *parts, **sizes):
     """Send a generation; return its status, and 0 if its stream was truncated."""
-    headers = crashing_headers(request_id, *parts, output_tokens=output_tokens)
+    headers = crashing_headers(request_id, *parts, **sizes)
     try:
         async with session.post(
             process.url + "/draft/x", headers=headers, data=b"p"
@@ -209,3 +210,23 @@
         await wait_until(lambda: not restarted.gateway.why_not_ready())
         assert await send(session, restarted, "r1", "f9", BAD) == 503
         assert len(platform.crash_times_s) == 3
+
+
+async def test_request_that_waits_at_a_server_is_withdrawn_before_it_crashes_it(
+    session,
+):
+    spec = EngineSpec(prefill_tokens_per_s=1000.0)
+    async with deployment(engines=6, gateways=2, engine_spec=spec) as platform:
+        platform.crashing_parts.add(BAD)
+        waiting = [
+            asyncio.create_task(
+                send(session, process, f"w{n}", "f7", BAD, prompt_tokens=4000)
+            )
+            for n, process in enumerate(platform.gateways)
+        ]
+        await wait_until(
+            lambda: sum(len(each.runs) for each in platform.engines.values()) == 2
+        )
+        await crash_three_servers(session, platform)
+        assert set(await asyncio.gather(*waiting)) == {502}
+        assert len(platform.crash_times_s) == 3
--- a/src/boragespring/quarantine/quarantine.py
+++ b/src/boragespring/quarantine/quarantine.py
@@ -15,6 +15,8 @@
 
 #: Called with crashes and clearances that were not known before.
 NewsHook = Callable[[Iterable[Crash], Iterable[Clearance]], None]
+#: Called with parts of prompts that are held to crash servers from now on.
+CulpritHook = Callable[[Culprit], None]
 
 
 @frozen
@@ -102,6 +104,7 @@
         self._suspects: tuple[Culprit, ...] = ()
         self._trials: dict[Culprit, _Trial] = {}
         self.news_hooks: list[NewsHook] = []
+        self.culprit_hooks: list[CulpritHook] = []
 
     @property
     def culprits(self) -> tuple[Culprit, ...]:
@@ -197,6 +200,8 @@
         for culprit in self._culprits:
             if culprit not in before:
                 self._log.state_change("prompt_quarantined", **self._describe(culprit))
+                for hook in self.culprit_hooks:
+                    hook(culprit)
         for culprit in before:
             if culprit not in self._culprits:
                 self._trials.pop(culprit, None)
