--- a/src/boragespring/forwarding/context.py
+++ b/src/boragespring/forwarding/context.py
@@ -24,6 +24,8 @@
 #: Fraction of the remaining time for which a request waits for a permit; the rest is
 #: left to its execution.
 MAX_WAIT_SHARE = 0.5
+#: Retry delay if the server for which a request waited takes none any longer.
+RETRY_AFTER_S = 0.25
 
 
 def _notify_nobody() -> None:
@@ -107,6 +109,8 @@
             servers, excluded, max_wait_s, job.urgency
         )
         if isinstance(found, BackendServer):
+            if found.is_leaving or found.is_paused(time.monotonic()):
+                return Refusal(RefusalReason.NO_SERVER, True, RETRY_AFTER_S)
             return found
         self.log.failure(
             "all_servers_rate_limited",
--- a/src/boragespring/forwarding/messages.py
+++ b/src/boragespring/forwarding/messages.py
@@ -29,7 +29,7 @@
 Headers = tuple[tuple[str, str], ...]
 
 #: Maximum number of parts of one prompt that are compared with other prompts.
-SHARED_PARTS_MAX = 64
+SHARED_PARTS_MAX = 32
 
 
 @frozen
--- a/src/boragespring/platform/emulator/__init__.py
+++ b/src/boragespring/platform/emulator/__init__.py
@@ -10,7 +10,8 @@
     GatewayProcess,
     RouteSpec,
 )
-from boragespring.platform.emulator.engine import EmulatedEngine, EngineSpec
+from boragespring.platform.emulator.engine import EmulatedEngine
+from boragespring.platform.emulator.engine_spec import EngineSpec
 from boragespring.platform.emulator.service import EmulatedService, ServiceFault
 from boragespring.platform.emulator.store import EmulatedStore, StoreMode
 
--- a/src/boragespring/platform/emulator/deployment.py
+++ b/src/boragespring/platform/emulator/deployment.py
@@ -13,7 +13,8 @@
 from boragespring.decisions import DecisionLog
 from boragespring.gateway import Gateway
 from boragespring.platform import names
-from boragespring.platform.emulator.engine import EmulatedEngine, EngineSpec
+from boragespring.platform.emulator.engine import EmulatedEngine
+from boragespring.platform.emulator.engine_spec import EngineSpec
 from boragespring.platform.emulator.service import EmulatedService
 from boragespring.platform.emulator.store import EmulatedStore
 from boragespring.settings import AddressSettings, LinkSettings
--- a/src/boragespring/quarantine/evidence.py
+++ b/src/boragespring/quarantine/evidence.py
@@ -4,6 +4,7 @@
 added to a crash, and a part that was cleared of a crash stays cleared of it.
 """
 
+import itertools
 import time
 from collections import Counter, OrderedDict
 from collections.abc import Callable, Iterable
@@ -56,7 +57,7 @@
     """
 
     crashes_max: int = 64
-    prompts_max: int = 64
+    prompts_max: int = 24
     forgotten_max: int = 4096
     cleared_max: int = 1024
     ttl_s: float = 3600.0
@@ -81,6 +82,8 @@
     version: int = 0
     _crashes: dict[ServerProcess, Crash] = field(factory=dict)
     _forgotten: "OrderedDict[ServerProcess, None]" = field(factory=OrderedDict)
+    #: Crashes that accuse each part of a service, and their times in seconds.
+    _accused: dict[tuple[str, str], dict[ServerProcess, float]] | None = None
     _cleared: "OrderedDict[tuple[str, str], frozenset[ServerProcess]]" = field(
         factory=OrderedDict
     )
@@ -107,6 +110,7 @@
         if merged == known:
             return False
         self._crashes[crash.process] = merged
+        self._accused = None
         self._drop_excess()
         self.version += 1
         return crash.process in self._crashes
@@ -175,16 +179,23 @@
     def _accused_before(
         self, service: str, part: str, before_s: float
     ) -> frozenset[ServerProcess]:
+        if self._accused is None:
+            self._accused = self._index_accused()
+        accusers = self._accused.get((service, part), {})
         return frozenset(
-            crash.process
-            for crash in self._crashes.values()
-            if crash.service == service
-            and crash.at_s < before_s
-            and any(
-                part in prompt for prompt in (*crash.prompts, *crash.silent_prompts)
-            )
+            process for process, at_s in accusers.items() if at_s < before_s
         )
 
+    def _index_accused(self) -> dict[tuple[str, str], dict[ServerProcess, float]]:
+        """Return an index, as each answer to a prompt looks up its parts."""
+        index: dict[tuple[str, str], dict[ServerProcess, float]] = {}
+        for crash in self._crashes.values():
+            prompts = (*crash.prompts, *crash.silent_prompts)
+            for part in itertools.chain.from_iterable(prompts):
+                accusers = index.setdefault((crash.service, part), {})
+                accusers[crash.process] = crash.at_s
+        return index
+
     def _merge(self, known: Crash, crash: Crash) -> Crash:
         return evolve(
             known,
@@ -221,6 +232,7 @@
 
     def _forget(self, process: ServerProcess) -> None:
         del self._crashes[process]
+        self._accused = None
         self._forgotten[process] = None
         if len(self._forgotten) > self.settings.forgotten_max:
             self._forgotten.popitem(last=False)
--- a/src/boragespring/server_rates/limiter.py
+++ b/src/boragespring/server_rates/limiter.py
@@ -318,5 +318,6 @@
 
     def forget_gone(self, servers: Iterable[BackendServer]) -> None:
         """Forget all servers but the given ones; called periodically."""
-        for server in self._states.keys() - set(servers):
-            del self._states[server]
+        if self._states:
+            for server in self._states.keys() - set(servers):
+                del self._states[server]
