--- a/src/boragespring/composition/gateway.py
+++ b/src/boragespring/composition/gateway.py
@@ -89,7 +89,7 @@
     crash_detector = CrashDetector(calls, CrashDetectorSettings(), log)
     quarantine = _build_quarantine(crash_detector, peers, log)
     rate_sharing = RateSharing(fleet, peers.dispatcher, peers.network)
-    rates = ServerRateLimiter(rate_sharing, peers.count, RateLimiterSettings())
+    rates = ServerRateLimiter(rate_sharing, peers.count, RateLimiterSettings(), log)
     rate_sharing.limiter = rates
     calls.take_permit = rates.take
     context = ForwardingContext(
@@ -159,7 +159,7 @@
         maintenance=(
             fleet.expire_lapsed,
             quarantine.evidence.expire,
-            lambda: rates.forget_gone(fleet.servers),
+            lambda: rates.retain(fleet.servers),
             load_sharing.expire_outdated,
             peers.network.refresh,
         ),
--- a/src/boragespring/fleet/model.py
+++ b/src/boragespring/fleet/model.py
@@ -353,7 +353,7 @@
         """Return whether the server wants no requests of this gateway."""
         return self.paused_until_s > now_s
 
-    def is_held_back(self, now_s: float) -> bool:
+    def is_rate_limited(self, now_s: float) -> bool:
         """Return whether its rate lets this gateway send no request now."""
         if self.rate_limit_per_s is None:
             return False
@@ -362,7 +362,7 @@
 
     def use_permit(self, now_s: float) -> bool:
         """Use a permit; return whether there was one."""
-        if self.is_held_back(now_s):
+        if self.is_rate_limited(now_s):
             return False
         used = next((each for each in self.permits if each.from_s <= now_s), None)
         if used is not None:
--- a/src/boragespring/forwarding/buffered.py
+++ b/src/boragespring/forwarding/buffered.py
@@ -184,7 +184,7 @@
             excluded=progress.excluded,
         )
         server = choose_server(ServiceCall(), view, self._context.placement)
-        self._context.want_permits(job)
+        self._context.prefetch_permits(job)
         return server
 
     async def _send(
--- a/src/boragespring/forwarding/context.py
+++ b/src/boragespring/forwarding/context.py
@@ -98,7 +98,7 @@
         servers = [
             server
             for server in self.fleet.candidates(job.service.name)
-            if server.is_held_back(now_s)
+            if server.is_rate_limited(now_s)
             and not server.is_paused(now_s)
             and server.server_id not in excluded
         ]
@@ -122,10 +122,10 @@
         retry_after_s = spread_return_s(found, rng)
         return Refusal(RefusalReason.RATE_LIMITED, True, retry_after_s)
 
-    def want_permits(self, job: Job) -> None:
+    def prefetch_permits(self, job: Job) -> None:
         """Ask for permits of the servers that only their rates hold back."""
         servers = self.fleet.candidates(job.service.name)
-        self.rates.want(
+        self.rates.prefetch(
             server for server in servers if server.rate_limit_per_s is not None
         )
 
--- a/src/boragespring/forwarding/crash_detection.py
+++ b/src/boragespring/forwarding/crash_detection.py
@@ -1,4 +1,4 @@
-"""Tell crashes of backend servers from other ends of replies.
+"""Distinguish crashes of backend servers from other ends of replies.
 
 The connections of a crashed server are closed, and it refuses new ones. A server that
 is cut off does neither, and one that resets a single connection accepts others. The
--- a/src/boragespring/forwarding/placement.py
+++ b/src/boragespring/forwarding/placement.py
@@ -110,7 +110,7 @@
         server
         for server in servers
         if server.paused_until_s <= view.now_s
-        and not server.is_held_back(view.now_s)
+        and not server.is_rate_limited(view.now_s)
         and server.server_id not in view.excluded
     ]
 
--- a/src/boragespring/forwarding/streaming.py
+++ b/src/boragespring/forwarding/streaming.py
@@ -222,7 +222,7 @@
             excluded=history.excluded,
         )
         server = choose_server(call, view, self._context.placement)
-        self._context.want_permits(job)
+        self._context.prefetch_permits(job)
         if server is not None:
             self._context.log.request(
                 "placed",
--- a/src/boragespring/gateway_peers/messages.py
+++ b/src/boragespring/gateway_peers/messages.py
@@ -239,14 +239,14 @@
 
 @message(154)
 class PermitRequest:
-    """Question of a gateway whether it may send one request to a server.
+    """Query of a gateway whether it may send one request to a server.
 
     Parameters
     ----------
     asker : str
         Name of the gateway that asks.
     number : int
-        Number of the question there.
+        Number of the query there.
     server_id : str
         Identifier of the server.
     started_at_ms : int
@@ -274,7 +274,7 @@
     asker : str
         Name of the gateway that asked.
     number : int
-        Number of its question.
+        Number of its query.
     is_granted : bool
         Whether one request may be sent.
     in_ms : int
--- a/src/boragespring/gateway_peers/rate_sharing.py
+++ b/src/boragespring/gateway_peers/rate_sharing.py
@@ -10,8 +10,8 @@
 from boragespring.links import Dispatcher, Link, LinkClosedError
 from boragespring.rendezvous import choose_responsible
 from boragespring.server_rates import (
-    PermitQuestion,
-    RateHolder,
+    PermitIssuer,
+    PermitQuery,
     Reservation,
     ServerRateLimiter,
 )
@@ -20,10 +20,10 @@
 
 
 class RateSharing:
-    """Pass rates to all gateways, and questions for permits to the one that answers.
+    """Pass rates to all gateways, and queries for permits to the one that answers.
 
     The relays divide the servers among themselves. A gateway that is no relay asks the
-    relay that it has joined, which passes the question on.
+    relay that it has joined, which passes the query on.
 
     Parameters
     ----------
@@ -36,10 +36,10 @@
 
     Attributes
     ----------
-    holder : RateHolder
+    issuer : PermitIssuer
         Grants the permits for which this gateway is responsible.
     limiter : ServerRateLimiter or None
-        Asks for permits; set when the gateway is assembled.
+        Limiter of this gateway; set when the gateway is assembled.
     """
 
     def __init__(
@@ -47,7 +47,7 @@
     ) -> None:
         self._fleet = fleet
         self._network = network
-        self.holder = RateHolder()
+        self.issuer = PermitIssuer()
         self.limiter: ServerRateLimiter | None = None
         dispatcher.on(PermitRequest, self._handle_request)
         dispatcher.on(PermitReply, self._handle_reply)
@@ -58,38 +58,38 @@
         """Report the rate that a server has named, or that it names none any longer."""
         self._network.broadcast(_rate_message(process, rate_per_s))
 
-    def ask(self, question: PermitQuestion) -> bool:
-        """Pass a question on; return False if nobody who answers can be reached."""
-        process = question.process
+    def ask(self, query: PermitQuery) -> bool:
+        """Pass a query on; return False if nobody who answers can be reached."""
+        process = query.process
         request = PermitRequest(
             self._network.local_name,
-            question.number,
+            query.number,
             process.server_id,
             process.started_at_ms,
-            question.rate_per_s,
-            round(question.max_wait_s * 1000),
+            query.rate_per_s,
+            round(query.max_wait_s * 1000),
         )
-        if self._is_holder(process):
+        if self._is_issuer(process):
             reservation = self._reserve(request)
             if self.limiter is not None:
-                self.limiter.on_reply(question.number, reservation)
+                self.limiter.on_reply(query.number, reservation)
             return True
         return self._send_on(request)
 
-    def _is_holder(self, process: ServerProcess) -> bool:
-        return self._network.is_relay and self._holder_name(process.server_id) == (
+    def _is_issuer(self, process: ServerProcess) -> bool:
+        return self._network.is_relay and self._issuer_name(process.server_id) == (
             self._network.local_name
         )
 
-    def _holder_name(self, server_id: str) -> str:
+    def _issuer_name(self, server_id: str) -> str:
         names = [relay.name for relay in self._network.reachable_relays()]
         return choose_responsible(server_id, [*names, self._network.local_name])
 
     def _send_on(self, request: PermitRequest) -> bool:
-        """Send a question to the relay that answers or knows the one that does."""
+        """Send a query to the relay that answers or knows the one that does."""
         links = self._network.upstream_links()
         if self._network.is_relay:
-            link = links.get(self._holder_name(request.server_id))
+            link = links.get(self._issuer_name(request.server_id))
         else:
             link = next(iter(links.values()), None)
         return link is not None and _send(link, request)
@@ -98,12 +98,12 @@
         process = ServerProcess(request.server_id, request.started_at_ms)
         # The other gateways may have a relay of their own that answers them.
         rate_per_s = request.rate_per_s * self._network.reachable_fraction()
-        return self.holder.reserve(process, rate_per_s, request.max_wait_ms / 1000)
+        return self.issuer.reserve(process, rate_per_s, request.max_wait_ms / 1000)
 
     def _handle_request(self, link: Link, request: PermitRequest) -> None:
         process = ServerProcess(request.server_id, request.started_at_ms)
         is_from_joined = link.peer.name in self._network.joined_links()
-        if is_from_joined and not self._is_holder(process):
+        if is_from_joined and not self._is_issuer(process):
             self._send_on(request)
             return
         reservation = self._reserve(request)
--- a/src/boragespring/gateway_peers/tests/peer_fleet.py
+++ b/src/boragespring/gateway_peers/tests/peer_fleet.py
@@ -20,7 +20,7 @@
 )
 from boragespring.links import Dispatcher, LinkClosedError
 from boragespring.server_rates import (
-    RateHolder,
+    PermitIssuer,
     RateLimiterSettings,
     ServerRateLimiter,
 )
@@ -162,9 +162,13 @@
         self.evacuations = EvacuationSharing(self.network, self.loads.has_load)
         self.evacuations.leaving_hooks.append(self._count_leaving)
         sharing = RateSharing(self.fleet, self.dispatcher, self.network)
-        sharing.holder = RateHolder(clock=clock)
+        sharing.issuer = PermitIssuer(clock=clock)
         self.rates = ServerRateLimiter(
-            sharing, lambda: len(self.entries.entries), RateLimiterSettings(), clock
+            sharing,
+            lambda: len(self.entries.entries),
+            RateLimiterSettings(),
+            DecisionLog(logger=logging.Logger("quiet", 60)),
+            clock,
         )
         sharing.limiter = self.rates
         self.notify_rate = sharing.notify_rate
--- a/src/boragespring/gateway_peers/tests/test_rates.py
+++ b/src/boragespring/gateway_peers/tests/test_rates.py
@@ -61,7 +61,7 @@
     async def _request(self, gateway):
         server = gateway.fleet.find(SERVER)
         loop = asyncio.get_running_loop()
-        if server.is_held_back(loop.time()):
+        if server.is_rate_limited(loop.time()):
             found = await gateway.rates.wait_for_permit([server], (), MAX_WAIT_S, 1)
             if not isinstance(found, BackendServer):
                 self.refused_waits_s.append(found)
--- a/src/boragespring/quarantine/culprits.py
+++ b/src/boragespring/quarantine/culprits.py
@@ -60,7 +60,7 @@
     """Return the culprits of all services.
 
     The part that occurs in most crashes is taken first, and the crashes that it
-    explains accuse no other part. So a part that sound prompts have as well is not
+    explains implicate no other part. So a part that sound prompts have as well is not
     held to cause the crashes of the one that stands beside it.
 
     Parameters
@@ -83,42 +83,42 @@
 ) -> Iterable[Culprit]:
     unexplained = [crash for crash in evidence.crashes if crash.service == service]
     while True:
-        accused = _accused_prompts(unexplained, evidence)
-        count = max((len(found) for found in accused.values()), default=0)
+        implicated = _implicating_prompts(unexplained, evidence)
+        count = max((len(found) for found in implicated.values()), default=0)
         if count < settings.crashes_min:
             return
         leader = _most_likely(
-            [part for part, found in accused.items() if len(found) == count],
-            accused,
+            [part for part, found in implicated.items() if len(found) == count],
+            implicated,
             service,
             evidence,
         )
-        crashes = sorted(accused[leader], key=lambda crash: crash.at_s)
-        # Parts that occurred together in all of these prompts are not told apart.
-        prompts = itertools.chain.from_iterable(accused[leader].values())
+        crashes = sorted(implicated[leader], key=lambda crash: crash.at_s)
+        # Parts that occurred together in all of these prompts are held together.
+        prompts = itertools.chain.from_iterable(implicated[leader].values())
         yield Culprit(service, frozenset.intersection(*prompts), tuple(crashes))
         unexplained = [crash for crash in unexplained if crash not in crashes]
 
 
-def _accused_prompts(
+def _implicating_prompts(
     crashes: Iterable[Crash], evidence: CrashEvidence
 ) -> dict[str, dict[Crash, list[Prompt]]]:
-    """Return the prompts that accuse each part, by the crashes that they explain.
+    """Return the prompts that implicate each part, by the crashes that they explain.
 
     Parts that were cleared of a crash are left out of its prompts.
     """
-    accused: dict[str, dict[Crash, list[Prompt]]] = {}
+    implicated: dict[str, dict[Crash, list[Prompt]]] = {}
     for crash in crashes:
         for prompt in crash.suspected_prompts:
-            left = evidence.accused_parts(crash, prompt)
+            left = evidence.implicated_parts(crash, prompt)
             for part in left:
-                accused.setdefault(part, {}).setdefault(crash, []).append(left)
-    return accused
+                implicated.setdefault(part, {}).setdefault(crash, []).append(left)
+    return implicated
 
 
 def _most_likely(
     parts: Iterable[str],
-    accused: dict[str, dict[Crash, list[Prompt]]],
+    implicated: dict[str, dict[Crash, list[Prompt]]],
     service: str,
     evidence: CrashEvidence,
 ) -> str:
@@ -129,7 +129,7 @@
     """
 
     def likelihood(part: str) -> tuple[int, int, str]:
-        prompts = sum(map(len, accused[part].values()))
+        prompts = sum(map(len, implicated[part].values()))
         return evidence.cleared_count(service, part), prompts, part
 
     return min(parts, key=likelihood)
--- a/src/boragespring/quarantine/evidence.py
+++ b/src/boragespring/quarantine/evidence.py
@@ -1,4 +1,4 @@
-"""Crashes of servers that are known, and the parts of prompts that they accuse.
+"""Crashes of servers that are known, and the parts of prompts that they implicate.
 
 The state of two gateways can be merged in any order, any number of times: prompts are
 added to a crash, and a part that was cleared of a crash stays cleared of it.
@@ -82,8 +82,8 @@
     version: int = 0
     _crashes: dict[ServerProcess, Crash] = field(factory=dict)
     _forgotten: "OrderedDict[ServerProcess, None]" = field(factory=OrderedDict)
-    #: Crashes that accuse each part of a service, and their times in seconds.
-    _accused: dict[tuple[str, str], dict[ServerProcess, float]] | None = None
+    #: Crashes that implicate each part of a service, and their times in seconds.
+    _implicated: dict[tuple[str, str], dict[ServerProcess, float]] | None = None
     _cleared: "OrderedDict[tuple[str, str], frozenset[ServerProcess]]" = field(
         factory=OrderedDict
     )
@@ -110,7 +110,7 @@
         if merged == known:
             return False
         self._crashes[crash.process] = merged
-        self._accused = None
+        self._implicated = None
         self._drop_excess()
         self.version += 1
         return crash.process in self._crashes
@@ -152,12 +152,12 @@
         if not self._crashes:
             return []
         found = [
-            Clearance(service, part, self._accused_before(service, part, began_at_s))
+            Clearance(service, part, self._implicated_before(service, part, began_at_s))
             for part in prompt
         ]
         return [clearance for clearance in found if self.add_clearance(clearance)]
 
-    def accused_parts(self, crash: Crash, prompt: Prompt) -> Prompt:
+    def implicated_parts(self, crash: Crash, prompt: Prompt) -> Prompt:
         """Return the parts of one prompt of a crash that were not cleared of it."""
         return frozenset(
             part
@@ -176,24 +176,24 @@
             if crash.at_s < cutoff_s:
                 self._forget(crash.process)
 
-    def _accused_before(
+    def _implicated_before(
         self, service: str, part: str, before_s: float
     ) -> frozenset[ServerProcess]:
-        if self._accused is None:
-            self._accused = self._index_accused()
-        accusers = self._accused.get((service, part), {})
+        if self._implicated is None:
+            self._implicated = self._index_implicated()
+        implicating = self._implicated.get((service, part), {})
         return frozenset(
-            process for process, at_s in accusers.items() if at_s < before_s
+            process for process, at_s in implicating.items() if at_s < before_s
         )
 
-    def _index_accused(self) -> dict[tuple[str, str], dict[ServerProcess, float]]:
+    def _index_implicated(self) -> dict[tuple[str, str], dict[ServerProcess, float]]:
         """Return an index, as each answer to a prompt looks up its parts."""
         index: dict[tuple[str, str], dict[ServerProcess, float]] = {}
         for crash in self._crashes.values():
             prompts = (*crash.prompts, *crash.silent_prompts)
             for part in itertools.chain.from_iterable(prompts):
-                accusers = index.setdefault((crash.service, part), {})
-                accusers[crash.process] = crash.at_s
+                implicating = index.setdefault((crash.service, part), {})
+                implicating[crash.process] = crash.at_s
         return index
 
     def _merge(self, known: Crash, crash: Crash) -> Crash:
@@ -214,7 +214,7 @@
         """Forget the crash that says least, if there are too many.
 
         That is one whose parts occur in the fewest crashes, so that crashes with
-        prompts that were made up do not displace those that accuse one part.
+        prompts that were made up do not displace those that implicate one part.
         """
         if len(self._crashes) <= self.settings.crashes_max:
             return
@@ -232,7 +232,7 @@
 
     def _forget(self, process: ServerProcess) -> None:
         del self._crashes[process]
-        self._accused = None
+        self._implicated = None
         self._forgotten[process] = None
         if len(self._forgotten) > self.settings.forgotten_max:
             self._forgotten.popitem(last=False)
--- a/src/boragespring/quarantine/tests/test_culprits.py
+++ b/src/boragespring/quarantine/tests/test_culprits.py
@@ -46,7 +46,7 @@
     assert culprits_of(make_evidence(*crashes)) == expected
 
 
-def test_sound_runs_on_the_same_servers_are_not_accused():
+def test_sound_runs_on_the_same_servers_are_not_implicated():
     evidence = make_evidence(
         make_crash(1, "a bad", "a rare", "b rare"),
         make_crash(2, "b bad", "a other"),
@@ -55,7 +55,7 @@
     assert culprits_of(evidence) == {"bad"}
 
 
-def test_waiting_runs_are_accused_only_if_nothing_else_can_be():
+def test_waiting_runs_are_implicated_only_if_nothing_else_can_be():
     waiting = [make_crash(n, f"{n} bad", silent=["all wait"]) for n in range(4)]
     assert culprits_of(make_evidence(*waiting)) == {"bad"}
     silent = [make_crash(n, silent=[f"{n} bad"]) for n in range(4)]
--- a/src/boragespring/server_rates/__init__.py
+++ b/src/boragespring/server_rates/__init__.py
@@ -1,21 +1,21 @@
 """Keep the rates of requests that backend servers name.
 
-`limiter` holds the permits of this gateway, `holder` grants those of some servers to
+`limiter` holds the permits of this gateway, `issuer` grants those of some servers to
 all gateways.
 """
 
-from boragespring.server_rates.holder import RateHolder, Reservation
+from boragespring.server_rates.issuer import PermitIssuer, Reservation
 from boragespring.server_rates.limiter import (
-    PermitQuestion,
+    PermitQuery,
     PermitSource,
     RateLimiterSettings,
     ServerRateLimiter,
 )
 
 __all__ = [
-    "PermitQuestion",
+    "PermitQuery",
     "PermitSource",
-    "RateHolder",
+    "PermitIssuer",
     "RateLimiterSettings",
     "Reservation",
     "ServerRateLimiter",
--- a/src/boragespring/server_rates/holder.py
+++ b/src/boragespring/server_rates/issuer.py
@@ -7,7 +7,7 @@
 
 from boragespring.fleet import ServerProcess
 
-__all__ = ["RateHolder", "Reservation"]
+__all__ = ["PermitIssuer", "Reservation"]
 
 #: Number of servers from which on those that had no request lately are forgotten.
 SERVERS_KEPT = 1000
@@ -17,7 +17,7 @@
 
 @frozen
 class Reservation:
-    """Answer to a question for a permit.
+    """Answer to a query for a permit.
 
     Parameters
     ----------
@@ -37,10 +37,10 @@
     return min(interval_s, FIRST_DELAY_MAX_S)
 
 
-class RateHolder:
+class PermitIssuer:
     """Space out the requests to each server, for all that ask here.
 
-    Permits are given in the order of the questions. One that would be due too late is
+    Permits are given in the order of the queries. One that would be due too late is
     not reserved, so that whoever asked can refuse its request at once.
 
     Parameters
--- a/src/boragespring/server_rates/limiter.py
+++ b/src/boragespring/server_rates/limiter.py
@@ -7,13 +7,14 @@
 from collections.abc import Callable, Collection, Iterable, Sequence
 from typing import Protocol
 
-from attrs import define, field, frozen
+from attrs import define, frozen
 
+from boragespring.decisions import DecisionLog
 from boragespring.fleet import BackendServer, Permit, ServerProcess
-from boragespring.server_rates.holder import RateHolder, Reservation
+from boragespring.server_rates.issuer import PermitIssuer, Reservation
 
 __all__ = [
-    "PermitQuestion",
+    "PermitQuery",
     "PermitSource",
     "RateLimiterSettings",
     "ServerRateLimiter",
@@ -22,7 +23,7 @@
 
 @frozen
 class RateLimiterSettings:
-    """Times of questions and permits, in seconds.
+    """Times of queries and permits, in seconds.
 
     Parameters
     ----------
@@ -31,31 +32,31 @@
         when it takes requests again.
     permit_ttl_s : float
         Time for which a permit can be used.
-    spare_wait_s : float
+    prefetch_wait_s : float
         Maximum time until a permit that no request waits for.
     wait_max_s : float
         Maximum time for which a request waits for its permit, unless the next one is
         due later at that rate. Permits that are reserved far ahead would still be used
         while another gateway has begun to grant them.
     reply_timeout_s : float
-        Time after which a question for a permit counts as lost.
+        Time after which a query for a permit counts as lost.
     """
 
     rate_floor_per_s: float = 0.1
     permit_ttl_s: float = 1.0
-    spare_wait_s: float = 0.2
+    prefetch_wait_s: float = 0.2
     wait_max_s: float = 1.0
     reply_timeout_s: float = 0.5
 
 
 @frozen
-class PermitQuestion:
-    """Question for a permit to send one request to a server.
+class PermitQuery:
+    """Query for a permit to send one request to a server.
 
     Parameters
     ----------
     number : int
-        Number of the question at the gateway that asks.
+        Number of the query at the gateway that asks.
     process : ServerProcess
         Server.
     rate_per_s : float
@@ -73,8 +74,8 @@
 class PermitSource(Protocol):
     """Way to the gateway that grants the permits of a server."""
 
-    def ask(self, question: PermitQuestion) -> bool:
-        """Pass a question on; return False if that gateway cannot be reached."""
+    def ask(self, query: PermitQuery) -> bool:
+        """Pass a query on; return False if that gateway cannot be reached."""
         ...
 
 
@@ -85,9 +86,9 @@
     Parameters
     ----------
     is_asking : bool
-        Whether a question for a spare permit is open.
+        Whether a query for a permit that no request waits for is open.
     ask_after_s : float
-        Monotonic time in seconds before which no spare permit is asked for.
+        Monotonic time in seconds before which no such permit is asked for.
     owed : int
         Number of requests that were sent without a permit.
     """
@@ -97,13 +98,12 @@
     owed: int = 0
 
 
-@define(order=False, eq=False)
+@define(eq=False)
 class _Waiter:
     """Request that waits for a permit of any server of its service."""
 
     urgency: int
     number: int
-    excluded: Collection[str]
     turn: "asyncio.Future[BackendServer]"
 
     @property
@@ -112,21 +112,8 @@
         return self.urgency, self.number
 
 
-@define(eq=False)
-class _Waiters:
-    """Waiting requests of one service."""
-
-    waiting: list[_Waiter] = field(factory=list)
-
-    def pop_for(self, server: BackendServer) -> _Waiter | None:
-        """Remove and return the first request that a server may get."""
-        fitting = (
-            each for each in self.waiting if server.server_id not in each.excluded
-        )
-        first = min(fitting, key=lambda each: each.rank, default=None)
-        if first is not None:
-            self.waiting.remove(first)
-        return first
+#: Waiting requests of a service that may be sent to the same servers.
+_WaitersKey = tuple[str, frozenset[str]]
 
 
 class ServerRateLimiter:
@@ -134,7 +121,8 @@
 
     One gateway grants the permits of a server, so that the sum over all gateways stays
     within the rate, and one that needs more than others gets more. A gateway that
-    cannot reach it keeps an equal share of the rate.
+    cannot reach it keeps an equal share of the rate. While other servers take the
+    requests, permits are prefetched and no request waits for them.
 
     Parameters
     ----------
@@ -143,7 +131,9 @@
     gateway_count : callable
         Returns the number of gateways.
     settings : RateLimiterSettings
-        Times of questions and permits.
+        Times of queries and permits.
+    log : DecisionLog
+        Log of queries without a reply.
     clock : callable, default=time.monotonic
         Source of time in seconds.
     """
@@ -153,18 +143,20 @@
         source: PermitSource,
         gateway_count: Callable[[], int],
         settings: RateLimiterSettings,
+        log: DecisionLog,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._source = source
         self._gateway_count = gateway_count
         self._settings = settings
+        self._log = log
         self._clock = clock
         # The shares of gateways that start to count at the same time are spread.
-        self._alone = RateHolder(lambda s: random.uniform(0.0, s), clock)
+        self._local_issuer = PermitIssuer(lambda s: random.uniform(0.0, s), clock)
         self._numbers = itertools.count(1)
-        self._questions: dict[int, asyncio.Future[Reservation]] = {}
+        self._queries: dict[int, asyncio.Future[Reservation]] = {}
         self._states: dict[BackendServer, _ServerState] = {}
-        self._waiters: dict[str, _Waiters] = {}
+        self._waiters: dict[_WaitersKey, list[_Waiter]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
     def take(self, server: BackendServer, *, is_forced: bool = False) -> bool:
@@ -182,20 +174,20 @@
             return True
         if is_forced:
             self._state(server).owed += 1
-        self.want([server])
+        self.prefetch([server])
         return is_forced
 
-    def want(self, servers: Iterable[BackendServer]) -> None:
+    def prefetch(self, servers: Iterable[BackendServer]) -> None:
         """Ask for a permit for each server that has none and could be used now."""
         now_s = self._clock()
         for server in servers:
-            if not server.is_held_back(now_s) or server.permits:
+            if not server.is_rate_limited(now_s) or server.permits:
                 continue
             state = self._state(server)
             if state.is_asking or now_s < state.ask_after_s:
                 continue
             state.is_asking = True
-            task = asyncio.create_task(self._fetch_spare(server, state))
+            task = asyncio.create_task(self._prefetch(server, state))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
@@ -239,10 +231,10 @@
         return min(waits_s)
 
     def on_reply(self, number: int, reservation: Reservation) -> None:
-        """Apply the reply to a question; one that comes too late has no effect."""
-        question = self._questions.get(number)
-        if question is not None and not question.done():
-            question.set_result(reservation)
+        """Apply the reply to a query; one that comes too late has no effect."""
+        query = self._queries.get(number)
+        if query is not None and not query.done():
+            query.set_result(reservation)
 
     async def _ask(self, server: BackendServer, max_wait_s: float) -> Reservation:
         if server.rate_limit_per_s is None:
@@ -253,24 +245,21 @@
         process = ServerProcess.of(server)
         reply: asyncio.Future[Reservation]
         reply = asyncio.get_running_loop().create_future()
-        self._questions[number] = reply
+        self._queries[number] = reply
         try:
-            if self._source.ask(
-                PermitQuestion(number, process, rate_per_s, max_wait_s)
-            ):
+            if self._source.ask(PermitQuery(number, process, rate_per_s, max_wait_s)):
                 async with asyncio.timeout(self._settings.reply_timeout_s):
                     return await reply
         except TimeoutError:
-            # The gateway that grants the permits is silent.
-            pass
+            self._log.state_change("permit_issuer_silent", server=server.server_id)
         finally:
-            del self._questions[number]
+            del self._queries[number]
         share_per_s = rate_per_s / max(1, self._gateway_count())
-        return self._alone.reserve(process, share_per_s, max_wait_s)
+        return self._local_issuer.reserve(process, share_per_s, max_wait_s)
 
-    async def _fetch_spare(self, server: BackendServer, state: _ServerState) -> None:
+    async def _prefetch(self, server: BackendServer, state: _ServerState) -> None:
         try:
-            reservation = await self._ask(server, self._settings.spare_wait_s)
+            reservation = await self._ask(server, self._settings.prefetch_wait_s)
         finally:
             state.is_asking = False
         if not reservation.is_granted:
@@ -288,26 +277,36 @@
         in_s: float,
         urgency: int,
     ) -> BackendServer:
-        waiters = self._waiters.setdefault(server.registration.service, _Waiters())
         loop = asyncio.get_running_loop()
-        waiter = _Waiter(urgency, next(self._numbers), excluded, loop.create_future())
-        waiters.waiting.append(waiter)
-        loop.call_later(in_s, self._hand_out, server, waiters)
+        key = server.registration.service, frozenset(excluded)
+        waiter = _Waiter(urgency, next(self._numbers), loop.create_future())
+        self._waiters.setdefault(key, []).append(waiter)
+        loop.call_later(in_s, self._hand_out, server, key)
         try:
             chosen = await waiter.turn
         finally:
-            if waiter in waiters.waiting:
-                waiters.waiting.remove(waiter)
+            self._remove_waiter(key, waiter)
         # Added only now, so that no request that came later can use it.
         self._add_permit(chosen, 0.0)
         return chosen
 
-    def _hand_out(self, server: BackendServer, waiters: _Waiters) -> None:
-        waiter = waiters.pop_for(server)
-        if waiter is None or waiter.turn.done():
+    def _hand_out(self, server: BackendServer, key: _WaitersKey) -> None:
+        """Give a permit that is due to the most urgent of the waiting requests."""
+        waiters = self._waiters.get(key, [])
+        first = min(waiters, key=lambda waiter: waiter.rank, default=None)
+        if first is None:
             self._add_permit(server, 0.0)
-        else:
-            waiter.turn.set_result(server)
+            return
+        self._remove_waiter(key, first)
+        if not first.turn.done():
+            first.turn.set_result(server)
+
+    def _remove_waiter(self, key: _WaitersKey, waiter: _Waiter) -> None:
+        waiters = self._waiters.get(key, [])
+        if waiter in waiters:
+            waiters.remove(waiter)
+        if not waiters:
+            self._waiters.pop(key, None)
 
     def _add_permit(self, server: BackendServer, in_s: float) -> None:
         from_s = self._clock() + in_s
@@ -316,7 +315,7 @@
     def _state(self, server: BackendServer) -> _ServerState:
         return self._states.setdefault(server, _ServerState())
 
-    def forget_gone(self, servers: Iterable[BackendServer]) -> None:
+    def retain(self, servers: Iterable[BackendServer]) -> None:
         """Forget all servers but the given ones; called periodically."""
         if self._states:
             for server in self._states.keys() - set(servers):
--- a/src/boragespring/server_rates/tests/test_limiter.py
+++ b/src/boragespring/server_rates/tests/test_limiter.py
@@ -3,9 +3,10 @@
 import asyncio
 
 from boragespring.bench.virtual_time import run_in_virtual_time
+from boragespring.decisions import DecisionLog
 from boragespring.fleet import BackendServer, Registration, ServerAddress
 from boragespring.server_rates import (
-    RateHolder,
+    PermitIssuer,
     RateLimiterSettings,
     Reservation,
     ServerRateLimiter,
@@ -22,28 +23,30 @@
 
 
 class LocalSource:
-    """Answers questions at once, or never."""
+    """Answers queries at once, or never."""
 
     def __init__(self, clock):
-        self.holder = RateHolder(lambda interval_s: 0.0, clock)
+        self.issuer = PermitIssuer(lambda interval_s: 0.0, clock)
         self.limiter = None
         self.is_silent = False
-        self.questions = 0
+        self.queries = 0
 
-    def ask(self, question):
-        self.questions += 1
+    def ask(self, query):
+        self.queries += 1
         if not self.is_silent:
-            reservation = self.holder.reserve(
-                question.process, question.rate_per_s, question.max_wait_s
+            reservation = self.issuer.reserve(
+                query.process, query.rate_per_s, query.max_wait_s
             )
-            self.limiter.on_reply(question.number, reservation)
+            self.limiter.on_reply(query.number, reservation)
         return True
 
 
 def make_limiter():
     clock = asyncio.get_running_loop().time
     source = LocalSource(clock)
-    limiter = ServerRateLimiter(source, lambda: 4, RateLimiterSettings(), clock)
+    limiter = ServerRateLimiter(
+        source, lambda: 4, RateLimiterSettings(), DecisionLog(), clock
+    )
     source.limiter = limiter
     return limiter, source
 
@@ -57,7 +60,7 @@
         limiter, source = make_limiter()
         server = make_server(None)
         assert all(limiter.take(server) for _ in range(100))
-        assert not source.questions
+        assert not source.queries
 
     play(scenario)
 
@@ -66,9 +69,9 @@
     async def scenario():
         limiter, _ = make_limiter()
         server = make_server(2.0)
-        limiter.want([server])
+        limiter.prefetch([server])
         await asyncio.sleep(0.1)
-        assert not server.is_held_back(asyncio.get_running_loop().time())
+        assert not server.is_rate_limited(asyncio.get_running_loop().time())
         await asyncio.sleep(RateLimiterSettings().permit_ttl_s)
         assert not limiter.take(server)
 
@@ -84,7 +87,7 @@
         times_s = []
         while len(times_s) < 2:
             await asyncio.sleep(0.05)
-            limiter.want([server])
+            limiter.prefetch([server])
             if limiter.take(server):
                 times_s.append(asyncio.get_running_loop().time())
         # Four requests by then: two that were forced and two with permits.
@@ -165,7 +168,7 @@
         server = make_server(0.0)
         sent = 0
         for _ in range(600):
-            limiter.want([server])
+            limiter.prefetch([server])
             await asyncio.sleep(0.1)
             sent += limiter.take(server)
         assert 1 <= sent <= 0.1 * 60 + 1
@@ -179,3 +182,20 @@
         limiter.on_reply(77, Reservation(True, 0.0))
 
     play(scenario)
+
+
+def test_requests_with_different_servers_left_do_not_take_each_others_permits():
+    async def scenario():
+        limiter, _ = make_limiter()
+        one, two = make_server(4.0, 1), make_server(8.0, 2)
+        for server in (one, two):
+            assert await limiter.wait_for_permit([server], (), 1.0, 1) is server
+            assert limiter.take(server)
+        async with asyncio.timeout(5.0):
+            found = await asyncio.gather(
+                limiter.wait_for_permit([two], {"server-1"}, 1.0, 5),
+                limiter.wait_for_permit([one], (), 1.0, 0),
+            )
+        assert found == [two, one]
+
+    play(scenario)
