--- a/src/boragespring/gateway_peers/tests/peer_fleet.py
+++ b/src/boragespring/gateway_peers/tests/peer_fleet.py
@@ -11,6 +11,7 @@
 from boragespring.fleet import Fleet, FleetSettings, Registration
 from boragespring.fleet.model import RunLoad, ServerAddress
 from boragespring.gateway_peers import (
+    CrashSharing,
     EvacuationSharing,
     LoadSharing,
     LoadSharingSettings,
@@ -19,6 +20,11 @@
     RateSharing,
 )
 from boragespring.links import Dispatcher, LinkClosedError
+from boragespring.quarantine import (
+    CrashEvidence,
+    PromptQuarantine,
+    QuarantineSettings,
+)
 from boragespring.server_rates import (
     PermitIssuer,
     RateLimiterSettings,
@@ -172,6 +178,14 @@
         )
         sharing.limiter = self.rates
         self.notify_rate = sharing.notify_rate
+        self.quarantine = PromptQuarantine(
+            CrashEvidence(clock=clock),
+            QuarantineSettings(),
+            lambda key: False,
+            DecisionLog(logger=logging.Logger("quiet", 60)),
+            clock,
+        )
+        CrashSharing(self.quarantine, self.dispatcher, self.network, clock)
         self.tasks = [
             asyncio.create_task(self.loads.run()),
             asyncio.create_task(self._refresh()),
--- /dev/null
+++ b/src/boragespring/gateway_peers/tests/test_crashes.py
@@ -0,0 +1,83 @@
+"""Crashes that gateways exchange, in virtual time."""
+
+import asyncio
+
+import pytest
+
+from boragespring.bench.virtual_time import run_in_virtual_time
+from boragespring.fleet import ServerProcess
+from boragespring.gateway_peers.messages import PromptCrashes
+from boragespring.gateway_peers.tests.peer_fleet import PeerFleet
+from boragespring.quarantine import Crash
+
+SERVICE = "m"
+#: A crash is news once on each link, in each direction at most.
+MESSAGES_PER_LINK_MAX = 2
+
+
+def make_crash(number, *parts):
+    return Crash(
+        ServerProcess(f"crashed-{number}", 1),
+        SERVICE,
+        asyncio.get_running_loop().time(),
+        frozenset([frozenset(parts)]),
+    )
+
+
+def refusing(fleet):
+    """Return the names of the gateways that refuse prompts with the part."""
+    prompt = frozenset(["any", "bad"])
+    return {
+        name
+        for name, gateway in fleet.gateways.items()
+        if gateway.quarantine.check(SERVICE, prompt, "r") is not None
+    }
+
+
+def crash_messages(fleet):
+    name = PromptCrashes.__name__
+    return sum(gateway.received[name] for gateway in fleet.gateways.values())
+
+
+def play(scenario):
+    run_in_virtual_time(scenario())
+
+
+@pytest.mark.parametrize(("count", "zones"), [(2, 1), (6, 3), (30, 4), (68, 5)])
+def test_crashes_at_different_gateways_are_joined_at_once_and_news_ends(count, zones):
+    async def scenario():
+        fleet = PeerFleet(count, zones, 2)
+        await asyncio.sleep(1.0)
+        names = sorted(fleet.gateways)
+        for number in range(3):
+            gateway = fleet.gateways[names[number % count]]
+            gateway.quarantine.record_crash(make_crash(number, f"f{number}", "bad"))
+        await asyncio.sleep(0.1)
+        assert refusing(fleet) == set(names)
+        links = sum(len(each.network.links()) for each in fleet.gateways.values()) / 2
+        assert crash_messages(fleet) <= 3 * MESSAGES_PER_LINK_MAX * links
+        received = crash_messages(fleet)
+        await asyncio.sleep(5.0)
+        assert crash_messages(fleet) == received
+
+    play(scenario)
+
+
+def test_gateways_that_were_cut_off_or_start_anew_learn_the_crashes():
+    async def scenario():
+        fleet = PeerFleet(9, 3, 2)
+        await asyncio.sleep(1.0)
+        fleet.cut_zone = "zone-1"
+        await asyncio.sleep(3.0)
+        cut = set(fleet.names_in("zone-1"))
+        reporter = fleet.gateways[fleet.names_in("zone-0")[0]]
+        for number in range(3):
+            reporter.quarantine.record_crash(make_crash(number, f"f{number}", "bad"))
+        await asyncio.sleep(0.1)
+        assert refusing(fleet) == fleet.gateways.keys() - cut
+        fleet.add(1)
+        fleet.cut_zone = None
+        await asyncio.sleep(3.0)
+        assert refusing(fleet) == fleet.gateways.keys()
+
+    play(scenario)
--- a/src/boragespring/quarantine/evidence.py
+++ b/src/boragespring/quarantine/evidence.py
@@ -122,7 +122,7 @@
         news = clearance.processes - known - self._forgotten.keys()
         if not news:
             return False
-        self._cleared[key] = known | news
+        self._cleared[key] = (known - self._forgotten.keys()) | news
         self._cleared.move_to_end(key)
         if len(self._cleared) > self.settings.cleared_max:
             self._cleared.popitem(last=False)
@@ -197,9 +197,10 @@
         return index
 
     def _merge(self, known: Crash, crash: Crash) -> Crash:
+        # The time of the first report is kept. Times that were converted from ages
+        # differ a little, and must not pass as news.
         return evolve(
             known,
-            at_s=min(known.at_s, crash.at_s),
             prompts=self._bounded(known.prompts, crash.prompts),
             silent_prompts=self._bounded(known.silent_prompts, crash.silent_prompts),
         )
--- a/src/boragespring/quarantine/tests/test_culprits.py
+++ b/src/boragespring/quarantine/tests/test_culprits.py
@@ -107,6 +107,8 @@
     evidence = make_evidence()
     assert evidence.add_crash(make_crash(1, "a bad"))
     assert not evidence.add_crash(make_crash(1, "a bad"))
+    for at_s in (0.9, 1.1):
+        assert not evidence.add_crash(make_crash(1, "a bad", at_s=at_s))
     assert evidence.add_crash(make_crash(1, "b bad"))
     assert not evidence.add_crash(make_crash(2))
 
