--- a/src/boragespring/platform/soak/callers.py
+++ b/src/boragespring/platform/soak/callers.py
@@ -102,6 +102,11 @@
     ended_at_s: float = 0.0
     headers: dict[str, str] = field(factory=dict)
 
+    @property
+    def met_no_gateway(self) -> bool:
+        """Whether no gateway was in rotation, and the one called was not up."""
+        return self.is_connection_refused and not self.was_in_rotation
+
 
 class Callers:
     """Send requests at a constant mean rate over persistent connections.
--- a/src/boragespring/platform/soak/runner.py
+++ b/src/boragespring/platform/soak/runner.py
@@ -20,12 +20,14 @@
 )
 from boragespring.platform.soak.verdict import SoakBreachKind, check_guarantees
 
-__all__ = ["run_soak"]
+__all__ = ["NOBODY_UP", "run_soak"]
 
 TRAFFIC_S = 6.0
 #: Time within which every gateway has to be ready again after the last fault.
 RECOVERY_S = 10.0
 AFTER_FAULTS_S = 1.0
+#: Ending of requests that found no gateway in rotation and no connection.
+NOBODY_UP = "nobody_up"
 
 
 async def run_soak(seed: int, directory: Path, network: int) -> RunReport:
@@ -78,7 +80,10 @@
         breaches += check_guarantees(
             records, deployment.platform, injector.removals, is_planned
         )
-    endings = Counter(f"status_{record.status}" for record in records)
+    endings = Counter(
+        NOBODY_UP if record.met_no_gateway else f"status_{record.status}"
+        for record in records
+    )
     duration_s = time.monotonic() - started_s
     return RunReport(seed, faults, endings, tuple(breaches), duration_s)
 
--- a/src/boragespring/platform/soak/verdict.py
+++ b/src/boragespring/platform/soak/verdict.py
@@ -163,14 +163,12 @@
 def _check_end(record: CallRecord, is_planned: bool) -> Iterable[Finding]:
     if not record.is_ended:
         yield SoakBreachKind.NO_END, "no end before the timeout"
-    # Without a gateway in rotation, one that is not up yet may have been called.
-    is_excused = record.is_connection_refused and not record.was_in_rotation
     if (
         is_planned
         and not record.disconnects_early
         and record.is_ended
         and not record.is_complete
-        and not is_excused
+        and not record.met_no_gateway
     ):
         what = "connection refused" if record.is_connection_refused else "broken off"
         yield SoakBreachKind.CUT_BY_PLANNED_WORK, f"{what}, status {record.status}"
