--- a/src/boragespring/quarantine/evidence.py
+++ b/src/boragespring/quarantine/evidence.py
@@ -59,7 +59,7 @@
     crashes_max: int = 64
     prompts_max: int = 24
     forgotten_max: int = 4096
-    cleared_max: int = 1024
+    cleared_max: int = 8192
     ttl_s: float = 3600.0
 
 
@@ -84,9 +84,7 @@
     _forgotten: "OrderedDict[ServerProcess, None]" = field(factory=OrderedDict)
     #: Crashes that implicate each part of a service, and their times in seconds.
     _implicated: dict[tuple[str, str], dict[ServerProcess, float]] | None = None
-    _cleared: "OrderedDict[tuple[str, str], frozenset[ServerProcess]]" = field(
-        factory=OrderedDict
-    )
+    _cleared: dict[tuple[str, str], frozenset[ServerProcess]] = field(factory=dict)
 
     @property
     def crashes(self) -> tuple[Crash, ...]:
@@ -122,10 +120,12 @@
         news = clearance.processes - known - self._forgotten.keys()
         if not news:
             return False
+        if len(self._cleared) >= self.settings.cleared_max:
+            self._drop_outdated_clearances()
+        if key not in self._cleared and len(self._cleared) >= self.settings.cleared_max:
+            # Replacing another one would make that one news again elsewhere.
+            return False
         self._cleared[key] = (known - self._forgotten.keys()) | news
-        self._cleared.move_to_end(key)
-        if len(self._cleared) > self.settings.cleared_max:
-            self._cleared.popitem(last=False)
         self.version += 1
         return True
 
@@ -196,6 +196,14 @@
                 implicating[crash.process] = crash.at_s
         return index
 
+    def _drop_outdated_clearances(self) -> None:
+        """Drop the clearances of which all crashes are forgotten."""
+        self._cleared = {
+            key: processes
+            for key, processes in self._cleared.items()
+            if processes - self._forgotten.keys()
+        }
+
     def _merge(self, known: Crash, crash: Crash) -> Crash:
         # The time of the first report is kept. Times that were converted from ages
         # differ a little, and must not pass as news.
--- a/src/boragespring/quarantine/tests/test_culprits.py
+++ b/src/boragespring/quarantine/tests/test_culprits.py
@@ -142,6 +142,20 @@
     }
 
 
+def test_clearances_beyond_the_bound_are_no_news_to_anybody():
+    evidence = make_evidence(
+        make_crash(1, "a b", "c d"), settings=EvidenceSettings(cleared_max=2)
+    )
+    parts = ["a", "b", "c", "d"]
+    process = frozenset([ServerProcess("server-1", 1)])
+    for _ in range(2):
+        news = [
+            evidence.add_clearance(Clearance(SERVICE, part, process)) for part in parts
+        ]
+    assert news == [False] * 4
+    assert len(evidence.clearances) == 2
+
+
 def test_old_crashes_expire():
     evidence = make_evidence(
         *(make_crash(n, f"{n} bad") for n in range(3)),
