--- a/src/boragespring/gateway_peers/messages.py
+++ b/src/boragespring/gateway_peers/messages.py
@@ -224,7 +224,7 @@
     server_id : str
         Identifier of the server.
     started_at_ms : int
-        Start time by the server's clock, which tells its processes apart.
+        Start time by the server's clock; compared for equality only.
     is_limited : bool
         Whether there is a limit.
     rate_per_s : float
@@ -250,7 +250,7 @@
     server_id : str
         Identifier of the server.
     started_at_ms : int
-        Start time by the server's clock, which tells its processes apart.
+        Start time by the server's clock; compared for equality only.
     rate_per_s : float
         Requests per second that it takes.
     max_wait_ms : int
