A run whose reply is lost in a move is stopped before it goes on elsewhere

Cause: the relay took any broken reply of a leaving server as the end of its process and went on from the latest copy, although the run had not been stopped. The mover read the stream's server after its copies, when the run had moved.

Change: only a server that refuses connections counts as gone. Otherwise the run is stopped by a final copy, or its server states that it has no such run; else the stream is broken off. Copies of a run take turns, and a move ends with its reply. Stopping a run stands once now, in run_stop.py.

--- a/src/boragespring/forwarding/move_scheduler.py
+++ b/src/boragespring/forwarding/move_scheduler.py
@@ -218,6 +218,7 @@
             and engine.can_move
             and stream.is_started
             and stream.handover is None
+            and not stream.is_reply_broken
             and not self._context.must_stay(stream.server, stream.job)
             and stream.move_after_s <= time.monotonic()
         )
--- a/src/boragespring/forwarding/mover.py
+++ b/src/boragespring/forwarding/mover.py
@@ -13,7 +13,6 @@
     CopyRefusedError,
     ForwardingError,
     RunNotFoundError,
-    ServerUnreachableError,
 )
 from boragespring.forwarding.evacuation import Evacuation
 from boragespring.forwarding.messages import PromptShape
@@ -24,6 +23,7 @@
     choose_server,
 )
 from boragespring.forwarding.refused_targets import RefusedTargets
+from boragespring.forwarding.run_stop import stop_run
 from boragespring.forwarding.running_stream import Handover, RunningStream
 
 __all__ = ["RunMover"]
@@ -98,7 +98,7 @@
             copies = await self._copy_while_running(stream, target)
             if self._context.fleet.drained_for_s(target):
                 raise CopyRefusedError("the zone of the target is drained")
-            await self._stop_and_transfer(stream, target)
+            await self._stop_and_transfer(stream, source, target)
         except ForwardingError:
             self.release_target(stream)
             raise
@@ -145,10 +145,13 @@
         source, run_id = stream.server, stream.job.request_id
         for copies in range(1, self._settings.copies_max + 1):
             started_s = time.monotonic()
-            copy = await self._context.calls.copy_run(
-                source, run_id, target.address, False
-            )
-            stream.fallback = Handover(source, target, copy.copy_id)
+            async with stream.copy_lock:
+                _check_runs_at(stream, source)
+                copy = await self._context.calls.copy_run(
+                    source, run_id, target.address, False
+                )
+                if stream.server is source:
+                    stream.fallback = Handover(source, target, copy.copy_id)
             if time.monotonic() - started_s < self._settings.small_copy_s:
                 return copies
             if self._is_notice_ending(source):
@@ -156,37 +159,22 @@
         return self._settings.copies_max
 
     async def _stop_and_transfer(
-        self, stream: RunningStream, target: BackendServer
+        self, stream: RunningStream, source: BackendServer, target: BackendServer
     ) -> None:
         """Stop the run, make the final copy and publish the handover."""
-        source, run_id = stream.server, stream.job.request_id
-        handover: asyncio.Future[Handover | None]
-        handover = asyncio.get_running_loop().create_future()
-        stream.handover = handover
-        stream.is_stopping = True
         result: Handover | None = None
-        try:
-            copy = await self._context.calls.copy_run(
-                source, run_id, target.address, True
-            )
-            result = Handover(source, target, copy.copy_id)
-        except CopyRefusedError as error:
-            if not error.copy_id:
-                stream.handover = None
-                stream.is_stopping = False
-                raise
-            # The run has stopped and can only continue on its own server.
-            result = Handover(source, source, error.copy_id)
-        except ForwardingError as error:
-            stream.handover = None
-            # Without a reply the server may have stopped the run all the same.
-            stream.is_stopping = not isinstance(
-                error, RunNotFoundError | ServerUnreachableError
-            )
-            raise
-        finally:
-            if not handover.done():
-                handover.set_result(result)
+        async with stream.copy_lock:
+            _check_runs_at(stream, source)
+            handover: asyncio.Future[Handover | None]
+            handover = asyncio.get_running_loop().create_future()
+            stream.handover = handover
+            try:
+                result = await stop_run(self._context, stream, target)
+            finally:
+                if result is None:
+                    stream.handover = None
+                if not handover.done():
+                    handover.set_result(result)
 
     def _is_notice_ending(self, server: BackendServer) -> bool:
         if server.left_at_s is None:
@@ -227,3 +215,12 @@
         if evacuation is not None and evacuation.is_time_short(copy_s_per_token):
             return self._settings.zone_penalty_congested_s
         return self._settings.zone_penalty_s
+
+
+def _check_runs_at(stream: RunningStream, server: BackendServer) -> None:
+    """Raise `RunNotFoundError` unless the stream still gets its events from a server.
+
+    During a copy the reply can break, and the run can go on elsewhere.
+    """
+    if stream.server is not server or stream.is_reply_broken:
+        raise RunNotFoundError(f"the reply of {server.server_id} has ended")
--- a/src/boragespring/forwarding/running_stream.py
+++ b/src/boragespring/forwarding/running_stream.py
@@ -3,7 +3,7 @@
 import asyncio
 import time
 
-from attrs import define, frozen
+from attrs import define, field, frozen
 
 from boragespring.fleet import BackendServer
 from boragespring.fleet.model import RunLoad
@@ -43,10 +43,16 @@
     is_stopping : bool
         Whether the server was asked to stop the run for a move and has not stated
         that it did not.
+    is_reply_broken : bool
+        Whether the reply of the current server ended without completing the stream.
+        No further move of the run is begun or continued then.
+    copy_lock : asyncio.Lock
+        Held during each copy, as a server makes one copy of a run at a time.
     target : BackendServer or None
         Server to which the run is being moved; its load already includes the run.
     fallback : Handover or None
-        Latest copy of the run, used if the server terminates before the move ends.
+        Latest copy of the run, used if its server has ended the run before the move
+        ends.
     move_after_s : float
         Monotonic time in seconds before which no further move is attempted.
     first_event_at_s : float
@@ -67,6 +73,8 @@
     moves: int = 0
     handover: asyncio.Future[Handover | None] | None = None
     is_stopping: bool = False
+    is_reply_broken: bool = False
+    copy_lock: asyncio.Lock = field(factory=asyncio.Lock)
     target: BackendServer | None = None
     fallback: Handover | None = None
     move_after_s: float = float("-inf")
@@ -127,6 +135,7 @@
         self.target = None
         self.handover = None
         self.is_stopping = False
+        self.is_reply_broken = False
         self.fallback = None
         self.move_after_s = float("-inf")
         self.moves += 1
--- a/src/boragespring/forwarding/stream_relay.py
+++ b/src/boragespring/forwarding/stream_relay.py
@@ -5,10 +5,13 @@
 
 from attrs import evolve
 
+from boragespring.fleet import BackendServer
 from boragespring.forwarding.context import ForwardingContext
 from boragespring.forwarding.errors import (
+    ForwardingError,
     ReplyBrokenError,
     ReplyLostError,
+    RunNotFoundError,
     ServerUnreachableError,
 )
 from boragespring.forwarding.events import EventSplitter
@@ -18,6 +21,7 @@
     ResumePoint,
     ServerReply,
 )
+from boragespring.forwarding.run_stop import stop_run
 from boragespring.forwarding.running_stream import Handover, RunningStream
 from boragespring.http.reply_end import ReplyFraming
 
@@ -26,6 +30,10 @@
 #: Time in seconds after the drain of a zone within which a run that was stopped for a
 #: move may still go on at a server of the zone.
 HANDOVER_GRACE_S = 1.0
+#: Maximum number of calls that stop a run whose reply was lost.
+STOP_ATTEMPTS_MAX = 3
+#: Delay in seconds between two of these calls.
+STOP_RETRY_DELAY_S = 0.2
 
 
 class StreamRelay:
@@ -86,7 +94,8 @@
                 )
                 return ""
             reply.close()
-            handover = await self._wait_handover() or self._fallback()
+            stream.is_reply_broken = True
+            handover = await self._wait_handover() or await self._fallback()
             if handover is None:
                 self._context.crash_detector.run_broke(
                     stream.server, stream.job.request_id
@@ -177,13 +186,51 @@
                 return await asyncio.shield(pending)
         return None
 
-    def _fallback(self) -> Handover | None:
-        """Return the latest copy of a run whose server has terminated.
+    async def _fallback(self) -> Handover | None:
+        """Return a copy of a run that its leaving server no longer executes.
 
-        The target recomputes the tokens that are missing from the copy.
+        A broken connection does not show that the server has ended the run: only its
+        reply may be lost. Unless the server is gone, it must stop the run or state
+        that it has none. The target recomputes the tokens that the copy lacks.
         """
+        copy = self._stream.fallback
+        if copy is None or not copy.source.is_leaving:
+            return None
+        if await self._is_gone(copy.source):
+            return copy
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self._handover_timeout_s):
+                return await self._stop_run(copy)
+        self._log_not_stopped("timeout")
+        return None
+
+    async def _is_gone(self, server: BackendServer) -> bool:
+        found = await self._context.calls.try_connection(server)
+        return found is Reachability.REFUSING
+
+    async def _stop_run(self, copy: Handover) -> Handover | None:
+        """Stop a run whose reply was lost; return None if it may still execute."""
+        async with self._stream.copy_lock:
+            for _ in range(STOP_ATTEMPTS_MAX):
+                try:
+                    return await stop_run(self._context, self._stream, copy.target)
+                except RunNotFoundError:
+                    return copy
+                except ForwardingError as error:
+                    self._log_not_stopped(f"{type(error).__name__}: {error}")
+                if await self._is_gone(copy.source):
+                    return copy
+                await asyncio.sleep(STOP_RETRY_DELAY_S)
+        return None
+
+    def _log_not_stopped(self, reason: str) -> None:
         stream = self._stream
-        return stream.fallback if stream.server.is_leaving else None
+        self._context.log.failure(
+            "run_not_stopped",
+            stream.job.request_id,
+            server=stream.server.server_id,
+            reason=reason,
+        )
 
     async def _resume_or_return(self, handover: Handover) -> ServerReply:
         """Resume a run on its target or, if that cannot be reached, on its source.
--- a/src/boragespring/platform/emulator/engine.py
+++ b/src/boragespring/platform/emulator/engine.py
@@ -63,6 +63,8 @@
     closes_before_event : int
         Number of the event before which the connection of the next stream that
         reaches it is closed; 0 for never.
+    keeps_runs : bool
+        Whether runs go on when the connection of their reply is closed.
     is_resumed_signed : bool
         Whether replies that continue a moved run have a signature.
     sends_unframed : bool
@@ -105,6 +107,7 @@
     truncates_at_event: int = 0
     stalls_after_event: int = 0
     closes_before_event: int = 0
+    keeps_runs: bool = False
     is_resumed_signed: bool = True
     sends_unframed: bool = False
     crashing_parts: set[str] = field(factory=set)
@@ -268,11 +271,24 @@
         if run is None:
             return self._reject()
         run.crash_point = crash_point
-        self.runs[run_id] = run
+        stream = asyncio.ensure_future(self._execute(request, run))
+        return await (asyncio.shield(stream) if self.keeps_runs else stream)
+
+    async def _execute(
+        self, request: web.Request, run: EngineRun
+    ) -> web.StreamResponse:
+        self.runs[run.run_id] = run
+        run.transport = request.transport
         try:
             return await self._stream(request, run)
         finally:
-            self.runs.pop(run_id, None)
+            self.runs.pop(run.run_id, None)
+
+    def lose_replies(self) -> None:
+        """Reset the connections of all replies in progress."""
+        for run in self.runs.values():
+            if run.transport is not None:
+                run.transport.abort()
 
     def _reject(self) -> web.Response:
         headers = {names.NOT_RUN: "1"}
@@ -335,11 +351,18 @@
                 self.truncates_at_event = 0
                 await response.write(_encode_event(run.event_count)[:-6])
                 return _truncate(request, response)
-            await response.write(_encode_event(run.event_count))
+            await self._write_event(response, run)
         if run.crash_point is not None:
             await self._crash_by_request(run.crash_point)
         return response
 
+    async def _write_event(self, response: web.StreamResponse, run: EngineRun) -> None:
+        try:
+            await response.write(_encode_event(run.event_count))
+        except ConnectionResetError:
+            if not self.keeps_runs:
+                raise
+
     def _create_response(self, run: EngineRun) -> web.StreamResponse:
         headers = {
             "Content-Type": "text/event-stream",
--- a/src/boragespring/platform/emulator/engine_run.py
+++ b/src/boragespring/platform/emulator/engine_run.py
@@ -1,5 +1,7 @@
 """Generations on an emulated engine."""
 
+import asyncio
+
 from attrs import define
 
 from boragespring.platform.emulator.crash_point import CrashPoint
@@ -19,6 +21,7 @@
     is_moved: bool = False
     is_preempted: bool = False
     crash_point: CrashPoint | None = None
+    transport: asyncio.Transport | None = None
 
     def token_count(self, spec: EngineSpec) -> int:
         """Return the number of tokens that the run keeps in memory."""
--- a/src/boragespring/platform/tests/test_stream_moves.py
+++ b/src/boragespring/platform/tests/test_stream_moves.py
@@ -1,12 +1,13 @@
 """Streams that move off leaving servers."""
 
 import asyncio
+import itertools
 
 import aiohttp
 import pytest
 from attrs import evolve
 
-from boragespring.forwarding.errors import ServerUnreachableError
+from boragespring.forwarding.errors import ReplyLostError, ServerUnreachableError
 from boragespring.platform.emulator import EngineSpec
 from boragespring.platform.emulator.catalog import STANDARD_ROUTES
 from boragespring.platform.server_calls import HttpServerCalls
@@ -166,6 +167,71 @@
         assert len(started_runs(platform)) == 1
 
 
+# Guards against a run that goes on elsewhere while its server still executes it: a
+# lost reply does not show that the server has ended the run.
+async def test_run_whose_reply_is_lost_in_a_move_is_stopped_before_it_goes_on(
+    session, monkeypatch
+):
+    send = HttpServerCalls.send
+    runs_at_source = []
+
+    async def send_and_look_at_source(calls, server, attempt):
+        if attempt.resume is not None:
+            source = platform.engines[_other_engine(server.server_id)]
+            runs_at_source.append([not run.is_moved for run in source.runs.values()])
+        return await send(calls, server, attempt)
+
+    monkeypatch.setattr(HttpServerCalls, "send", send_and_look_at_source)
+    _lose_reply_in_copy(monkeypatch, lambda: platform, copy_number=2)
+    spec = EngineSpec(copy_s_per_token=0.0006)
+    async with deployment(engines=2, engine_spec=spec) as platform:
+        for engine in platform.engines.values():
+            engine.keeps_runs = True
+        events, _ = await _read_while_server_leaves(session, platform, 4.0, lead_s=0.3)
+        assert events == list(range(1, 101))
+        assert runs_at_source
+        assert not any(itertools.chain.from_iterable(runs_at_source))
+
+
+async def test_run_that_ended_with_its_reply_goes_on_from_its_copy(
+    session, monkeypatch
+):
+    _lose_reply_in_copy(monkeypatch, lambda: platform, copy_number=2)
+    spec = EngineSpec(copy_s_per_token=0.0006)
+    async with deployment(engines=2, engine_spec=spec) as platform:
+        events, _ = await _read_while_server_leaves(session, platform, 4.0, lead_s=0.3)
+        assert events == list(range(1, 101))
+        assert started_runs(platform) == ["s1"]
+
+
+# Guards against the same while the server cannot be asked: the stream is broken off.
+async def test_run_that_cannot_be_stopped_does_not_go_on_elsewhere(
+    session, monkeypatch
+):
+    copy_run = HttpServerCalls.copy_run
+
+    async def lose_stops(calls, server, run_id, target, is_last):
+        if is_last:
+            raise ReplyLostError("no reply")
+        return await copy_run(calls, server, run_id, target, is_last)
+
+    monkeypatch.setattr(HttpServerCalls, "copy_run", lose_stops)
+    _lose_reply_in_copy(monkeypatch, lambda: platform, copy_number=2)
+    spec = EngineSpec(copy_s_per_token=0.0006)
+    async with deployment(engines=2, engine_spec=spec) as platform:
+        for engine in platform.engines.values():
+            engine.keeps_runs = True
+        with pytest.raises(aiohttp.ClientError):
+            await _read_while_server_leaves(session, platform, 4.0, lead_s=0.3)
+        resumed = [
+            headers
+            for engine in platform.engines.values()
+            for headers in engine.received_headers
+            if "kv-from" in headers
+        ]
+        assert not resumed
+
+
 async def test_stream_goes_on_and_moves_again_if_the_target_is_unreachable(
     session, monkeypatch
 ):
@@ -244,3 +310,21 @@
     events, _ = await task
     await reclaim
     return events, leaving_server
+
+
+def _other_engine(server_id):
+    return {"engine-0": "engine-1", "engine-1": "engine-0"}[server_id]
+
+
+def _lose_reply_in_copy(monkeypatch, platform, copy_number):
+    """Lose the replies of a server 0.2 s before the end of a copy from it."""
+    copy_run = HttpServerCalls.copy_run
+    numbers = itertools.count(1)
+
+    async def copy_and_lose_reply(calls, server, run_id, target, is_last):
+        if not is_last and next(numbers) == copy_number:
+            platform().engines[server.server_id].lose_replies()
+            await asyncio.sleep(0.2)
+        return await copy_run(calls, server, run_id, target, is_last)
+
+    monkeypatch.setattr(HttpServerCalls, "copy_run", copy_and_lose_reply)
