An entry that cannot be read ends nothing but itself

Cause: json.loads raises RecursionError for 100,000 brackets, which no reader expected. It ended the task that follows all keys of the store, unnoticed.

Change: readers of the store, of servers and of engines use parse_json, which limits the nesting to 64 levels and raises ValueError alone. Background loops of the gateway that fail are logged and started again.

--- a/src/boragespring/engines/engine_client.py
+++ b/src/boragespring/engines/engine_client.py
@@ -1,6 +1,5 @@
 """HTTP client of model engines of any vendor."""
 
-import json
 import time
 from collections.abc import AsyncGenerator
 from http import HTTPStatus
@@ -34,6 +33,7 @@
 )
 from boragespring.http.bounded_reply import read_body
 from boragespring.http.single_send import create_single_send_session
+from boragespring.json_document import parse_json
 
 __all__ = [
     "EngineClientSettings",
@@ -165,7 +165,7 @@
             ) as response:
                 response.raise_for_status()
                 body = await read_body(response, REPORT_MAX_BYTES)
-                entries = json.loads(body)["data"]
+                entries = parse_json(body)["data"]
                 return tuple(str(entry["id"]) for entry in entries)
         except (aiohttp.ClientError, TimeoutError, ValueError) as error:
             raise EngineError(f"cannot list models: {error}") from error
--- a/src/boragespring/engines/load_reports.py
+++ b/src/boragespring/engines/load_reports.py
@@ -1,6 +1,5 @@
 """Parsing of the vendors' load reports into a common `LoadReport`."""
 
-import json
 import math
 from collections.abc import Mapping
 from enum import StrEnum
@@ -11,6 +10,7 @@
 
 from boragespring.engines.client import EngineError, LoadReport
 from boragespring.engines.vendors import Orca, Sglang, Tgi, Vendor, Vllm
+from boragespring.json_document import parse_json
 
 __all__ = [
     "ORCA_HEADER",
@@ -224,7 +224,7 @@
         encoding, _, payload = header.partition(" ")
         try:
             if encoding == "JSON":
-                metrics = json.loads(payload)["named_metrics"]
+                metrics = parse_json(payload)["named_metrics"]
             else:
                 metrics = dict(
                     pair.strip().removeprefix("named_metrics.").split("=", 1)
--- a/src/boragespring/engines/vendors.py
+++ b/src/boragespring/engines/vendors.py
@@ -12,6 +12,7 @@
     GenerationRequest,
     TokenBatch,
 )
+from boragespring.json_document import parse_json
 
 __all__ = [
     "REQUEST_ID_HEADER",
@@ -171,7 +172,7 @@
         if payload == STREAM_END:
             continue
         try:
-            choice = json.loads(payload.decode())["choices"][0]
+            choice = parse_json(payload.decode())["choices"][0]
             texts.append(choice["text"])
             finish = choice.get("finish_reason")
         except (ValueError, LookupError, TypeError) as error:
@@ -187,7 +188,7 @@
     reason: FinishReason | None = None
     for payload in payloads:
         try:
-            event = json.loads(payload.decode())
+            event = parse_json(payload.decode())
             token = event["token"]
             if not token["special"]:
                 texts.append(token["text"])
--- a/src/boragespring/gateway/daemon.py
+++ b/src/boragespring/gateway/daemon.py
@@ -6,6 +6,7 @@
 from typing import Any, Protocol
 
 import attrs
+from absl import logging
 from attrs import define, field
 
 from boragespring.decisions import DecisionLog
@@ -22,6 +23,8 @@
 CLOSE_RESERVE_S = 0.3
 #: Time between two calls of the maintenance functions.
 MAINTENANCE_INTERVAL_S = 0.2
+#: Delay before a background loop that failed is started again.
+LOOP_RESTART_DELAY_S = 1.0
 
 
 class Listener(Protocol):
@@ -133,8 +136,8 @@
 
     async def start(self) -> None:
         """Start the background tasks and open the ports."""
-        self._tasks = [asyncio.create_task(loop()) for loop in self.loops]
-        self._tasks.append(asyncio.create_task(self._run_maintenance()))
+        loops = (*self.loops, self._run_maintenance)
+        self._tasks = [asyncio.create_task(self._supervise(loop)) for loop in loops]
         for listener in (*self.listeners, self.callers):
             await listener.start()
         self.log.lifecycle("started")
@@ -178,6 +181,21 @@
             await close()
         self.log.lifecycle("stopped")
 
+    async def _supervise(self, loop: Callable[[], Coroutine[None, None, None]]) -> None:
+        """Run a background loop, and start it again after an unexpected error.
+
+        Without this, a gateway would stay ready while it learns nothing more.
+        """
+        while True:
+            try:
+                return await loop()
+            except Exception as error:
+                logging.exception("event=loop_failed loop=%s", loop.__qualname__)
+                self.log.lifecycle(
+                    "loop_failed", loop=loop.__qualname__, reason=repr(error)[:300]
+                )
+            await asyncio.sleep(LOOP_RESTART_DELAY_S)
+
     async def _run_maintenance(self) -> None:
         while True:
             await sleep_until_tick(MAINTENANCE_INTERVAL_S)
--- a/src/boragespring/gateway_peers/presence.py
+++ b/src/boragespring/gateway_peers/presence.py
@@ -8,6 +8,7 @@
 from attrs import frozen
 
 from boragespring.decisions import DecisionLog
+from boragespring.json_document import parse_json
 from boragespring.store import KeyValue, KeyValueStore, StoreError
 from boragespring.store.instances import Instance, InstanceRole
 from boragespring.store.store import (
@@ -170,7 +171,7 @@
 def _parse_entry(item: KeyValue) -> Instance | None:
     """Return the gateway that an entry describes; None for a malformed entry."""
     try:
-        fields = json.loads(item.value)
+        fields = parse_json(item.value)
         return Instance(
             name=item.key.removeprefix(PRESENCE_PREFIX),
             role=InstanceRole.ENTRY,
@@ -183,5 +184,5 @@
             # Gateways of an earlier version do not write this field.
             cpu_cores=float(fields.get("cpu_cores", 1.0)),
         )
-    except (ValueError, LookupError, TypeError):
+    except (ValueError, LookupError, TypeError, OverflowError):
         return None
--- a/src/boragespring/membership/duty_manager.py
+++ b/src/boragespring/membership/duty_manager.py
@@ -9,6 +9,7 @@
 from absl import logging
 from attrs import define
 
+from boragespring.json_document import parse_json
 from boragespring.membership.duties import (
     DUTY_PREFIX,
     Duty,
@@ -299,7 +300,7 @@
     A malformed value yields the name "unreadable" and an empty token.
     """
     try:
-        fields = json.loads(value)
+        fields = parse_json(value)
         return str(fields["holder"]), str(fields["token"])
     except (ValueError, LookupError, TypeError):
         return "unreadable", ""
--- a/src/boragespring/platform/catalog_codec.py
+++ b/src/boragespring/platform/catalog_codec.py
@@ -1,7 +1,5 @@
 """Decode the operator's configuration into a `Catalog`."""
 
-import json
-
 from attrs import frozen
 
 from boragespring.catalog import (
@@ -14,6 +12,7 @@
     ServiceShare,
     Workspace,
 )
+from boragespring.json_document import parse_json
 from boragespring.settings import SettingsError, structure
 
 __all__ = ["CatalogUnreadableError", "decode_catalog"]
@@ -122,7 +121,7 @@
         When the data is not JSON, or fields are missing or invalid.
     """
     try:
-        document = json.loads(data)
+        document = parse_json(data)
         wire = structure(document, _WireCatalog, "configuration", ignore_unknown=True)
     except (ValueError, SettingsError) as error:
         raise CatalogUnreadableError(f"configuration: {error}") from error
--- a/src/boragespring/platform/registration_codec.py
+++ b/src/boragespring/platform/registration_codec.py
@@ -1,10 +1,9 @@
 """Decode the registrations that backend servers write to the store."""
 
-import json
-
 from attrs import frozen
 
 from boragespring.fleet import Registration, ServerAddress
+from boragespring.json_document import parse_json
 from boragespring.platform.names import REGISTRATION_PREFIX
 from boragespring.settings import SettingsError, structure
 
@@ -53,7 +52,7 @@
         When fields are missing or invalid, or the state is unknown.
     """
     try:
-        document = json.loads(data)
+        document = parse_json(data)
         wire = structure(document, _WireRegistration, key, ignore_unknown=True)
         host, _, port = wire.address.rpartition(":")
         address = ServerAddress(host, int(port))
--- a/src/boragespring/platform/server_calls.py
+++ b/src/boragespring/platform/server_calls.py
@@ -1,7 +1,6 @@
 """HTTP calls to backend servers, each on a connection of its own."""
 
 import asyncio
-import json
 import time
 from collections.abc import AsyncIterator, Callable
 from typing import Any, Protocol
@@ -30,6 +29,7 @@
 from boragespring.http.bounded_reply import create_connector, read_body
 from boragespring.http.reply_end import ReplyEnd, ReplyFraming
 from boragespring.http.single_send import create_single_send_session
+from boragespring.json_document import parse_json
 from boragespring.platform import names
 from boragespring.platform.sockets import create_socket
 from boragespring.platform.statement_codec import decode_statement
@@ -329,7 +329,7 @@
 
 
 def _parse_object(data: bytes) -> dict[str, Any]:
-    body = json.loads(data) if data else {}
+    body = parse_json(data) if data else {}
     return body if isinstance(body, dict) else {}
 
 
--- a/src/boragespring/platform/store_client.py
+++ b/src/boragespring/platform/store_client.py
@@ -3,7 +3,6 @@
 import asyncio
 import base64
 import binascii
-import json
 from collections.abc import AsyncGenerator, Callable, Mapping, Sequence
 from typing import Any, NamedTuple
 
@@ -11,6 +10,7 @@
 from attrs import frozen
 
 from boragespring.http.bounded_reply import create_connector, read_body
+from boragespring.json_document import parse_json
 from boragespring.platform import names
 from boragespring.platform.sockets import create_socket
 from boragespring.store.store import (
@@ -279,7 +279,7 @@
     """Parse a JSON object; raise `ValueError` if it is anything else."""
     if not data:
         return {}
-    body = json.loads(data)
+    body = parse_json(data)
     if not isinstance(body, dict):
         raise ValueError(f"expected a JSON object, found {type(body).__name__}")
     return body
--- a/src/boragespring/quarantine/archive.py
+++ b/src/boragespring/quarantine/archive.py
@@ -14,6 +14,7 @@
 from boragespring.decisions import DecisionLog
 from boragespring.event_loop import sleep_until_tick
 from boragespring.fleet import ServerProcess
+from boragespring.json_document import parse_json
 from boragespring.quarantine.crashes import Crash
 from boragespring.quarantine.culprits import Culprit
 from boragespring.quarantine.quarantine import RequestQuarantine
@@ -101,7 +102,7 @@
             return
         try:
             crashes = _decode(item.value)
-        except (ValueError, LookupError, TypeError) as error:
+        except (ValueError, LookupError, TypeError, OverflowError) as error:
             self._log.state_change("crashes_unreadable", reason=repr(error)[:300])
             return
         self._quarantine.merge(crashes, [])
@@ -141,7 +142,7 @@
 
 
 def _decode(value: bytes) -> list[Crash]:
-    rows: list[dict[str, Any]] = json.loads(value)["crashes"]
+    rows: list[dict[str, Any]] = parse_json(value)["crashes"]
     now_s = time.monotonic()
     return [
         Crash(
--- a/src/boragespring/store/etcd.py
+++ b/src/boragespring/store/etcd.py
@@ -1,7 +1,6 @@
 """Key-value store over the public JSON gateway of etcd v3."""
 
 import asyncio
-import json
 import math
 from collections.abc import AsyncGenerator, AsyncIterator, Mapping, Sequence
 from contextlib import asynccontextmanager
@@ -11,6 +10,7 @@
 from attrs import frozen
 
 from boragespring.http.bounded_reply import read_body
+from boragespring.json_document import parse_json
 from boragespring.store.json_gateway import (
     CODE_INVALID_ARGUMENT,
     CODE_NOT_FOUND,
@@ -197,7 +197,7 @@
             payload = await read_body(response, REPLY_MAX_BYTES)
             if response.status != _HTTP_OK:
                 raise _error_from_response(response.status, payload)
-            return json.loads(payload)
+            return parse_json(payload)
 
     async def _read(self, path: str, body: Mapping[str, Any]) -> Any:
         """Call the members in turn until one replies; reads are safe to retry."""
@@ -274,7 +274,7 @@
             raise StoreUnavailableError(
                 f"watch of {prefix!r} was closed by the service"
             )
-        message = json.loads(line)
+        message = parse_json(line)
         if "result" not in message:
             raise StoreUnavailableError(f"watch of {prefix!r} failed: {message}")
         result: Mapping[str, Any] = message["result"]
@@ -303,7 +303,7 @@
 
 def _error_from_response(status: int, payload: bytes) -> StoreError:
     try:
-        body = json.loads(payload)
+        body = parse_json(payload)
         code, text = int(body.get("code", 0)), str(body.get("message", ""))
     except (ValueError, AttributeError):
         code, text = 0, payload[:200].decode(errors="replace")
--- a/src/boragespring/store/instances_http.py
+++ b/src/boragespring/store/instances_http.py
@@ -1,6 +1,5 @@
 """HTTP client of the platform's instance list."""
 
-import json
 from http import HTTPStatus
 from typing import Any
 
@@ -8,6 +7,7 @@
 import cattrs
 
 from boragespring.http.bounded_reply import read_body
+from boragespring.json_document import parse_json
 from boragespring.store.instances import Instance, InstanceListError
 
 __all__ = ["HttpInstanceList", "instances_from_json", "instances_to_json"]
@@ -66,7 +66,7 @@
             ) as response:
                 if response.status != HTTPStatus.NOT_MODIFIED:
                     body = await read_body(response, LIST_MAX_BYTES)
-                    self._last_instances = instances_from_json(json.loads(body))
+                    self._last_instances = instances_from_json(parse_json(body))
                     self._entity_tag = response.headers.get("ETag", "")
                 return self._last_instances
         except (aiohttp.ClientError, TimeoutError) as error:
--- a/src/boragespring/store/tests/test_follower.py
+++ b/src/boragespring/store/tests/test_follower.py
@@ -241,3 +241,29 @@
         await asyncio.sleep(0.1)
         assert listener.values == {"a/2": b"y"}
         assert follower.complete_at_s == before_s
+
+
+class FailingListener(RecordingListener):
+    def on_change(self, event):
+        raise RecursionError
+
+    def on_snapshot(self, items, is_after_outage):
+        raise RecursionError
+
+
+# Guards against one entry that cannot be processed ending all that a process learns.
+async def test_failing_listener_does_not_end_the_watch():
+    keyspace = Keyspace()
+    put(keyspace, "a/1", b"x")
+    sound = RecordingListener()
+    shared = PrefixFanOut({"a/": FailingListener(), "b/": sound})
+    store = MemoryStore(keyspace, progress_interval_s=0.05)
+    settings = PrefixFollowerSettings(0.01, 0.02)
+    follower = PrefixFollower(store, "", shared, sound, settings)
+    task = asyncio.create_task(follower.run())
+    await wait_until(lambda: follower.position.revision)
+    put(keyspace, "a/2", b"x")
+    put(keyspace, "b/1", b"y")
+    await wait_until(lambda: sound.values == {"b/1": b"y"})
+    assert not task.done()
+    task.cancel()
