A refusal of another request is not believed

Change: the identity is read first, for calls and for streams. A refusal that names another request says nothing about this one, which gets 502.

Streams have no test of their own yet.

--- a/src/boragespring/forwarding/buffered.py
+++ b/src/boragespring/forwarding/buffered.py
@@ -292,10 +292,11 @@
         self, job: Job, server: BackendServer, reply: ServerReply
     ) -> BufferedReply | _NotRun | _ReplyLost:
         head = reply.head
-        if head.was_not_run or head.is_misdirected:
-            return _NotRun(f"status {head.status}", not head.is_misdirected)
+        # A refusal of another request says nothing about this one.
         if head.request_id and head.request_id != job.request_id:
             return _ReplyLost(f"reply to another request, {head.request_id}")
+        if head.was_not_run or head.is_misdirected:
+            return _NotRun(f"status {head.status}", not head.is_misdirected)
         if head.is_encoded:
             return _ReplyLost("encoded body")
         if head.is_success and not head.is_signed:
--- a/src/boragespring/forwarding/streaming.py
+++ b/src/boragespring/forwarding/streaming.py
@@ -288,15 +288,16 @@
                 )
                 reply = await self._context.calls.send(server, job.attempt())
             head = reply.head
+            # A refusal of another request says nothing about this one.
+            if head.request_id and head.request_id != job.request_id:
+                reply.close()
+                self._context.fleet.record_failure(server, "reply to another request")
+                return Refusal(RefusalReason.REPLY_LOST, was_not_run=False)
             if head.was_not_run or head.is_misdirected:
                 reply.close()
                 if not head.is_misdirected:
                     self._context.outliers.record(server, has_failed=True)
                 return f"not run, status {head.status}"
-            if head.request_id and head.request_id != job.request_id:
-                reply.close()
-                self._context.fleet.record_failure(server, "reply to another request")
-                return Refusal(RefusalReason.REPLY_LOST, was_not_run=False)
             is_open = True
             self._context.crash_detector.run_replied(server, job.request_id)
             return _OpenedReply(server, load, reply)
--- a/src/boragespring/platform/emulator/service.py
+++ b/src/boragespring/platform/emulator/service.py
@@ -46,6 +46,8 @@
     EXTRA = auto()
     #: Sends the reply to another request.
     OTHER_REPLY = auto()
+    #: Runs the request and sends the refusal of another request.
+    OTHER_REFUSAL = auto()
     #: Declares a content encoding that the body does not have.
     ENCODED = auto()
     #: Sends a successful reply without a signature.
@@ -280,6 +282,9 @@
                 )
             case ServiceFault.OTHER_REPLY:
                 writer.write(_encode_reply(200, "other", b"other", signed))
+            case ServiceFault.OTHER_REFUSAL:
+                not_run = {names.NOT_RUN: "1", **self._state_headers()}
+                writer.write(_encode_reply(503, "other", b"", not_run))
             case ServiceFault.ENCODED:
                 headers = {**signed, "Content-Encoding": "gzip"}
                 writer.write(_encode_reply(200, request_id, self.body, headers))
--- a/src/boragespring/platform/tests/test_forwarding_buffered.py
+++ b/src/boragespring/platform/tests/test_forwarding_buffered.py
@@ -180,3 +180,16 @@
             ) as response:
                 assert response.status == 200
         assert not platform.services["desk-0"].runs
+
+
+# Guards against a refusal that a server repeats for another request: the request that
+# gets it has run, and is neither called not run nor sent again.
+async def test_refusal_of_another_request_is_not_believed(session):
+    async with deployment(services=2) as platform:
+        for service in platform.services.values():
+            service.default_fault = ServiceFault.OTHER_REFUSAL
+        url = platform.gateways[0].url + "/book/x"
+        async with session.post(url, headers=request_headers("r1")) as response:
+            assert response.status == 502
+        runs = [service.runs for service in platform.services.values()]
+        assert sum(runs, []) == ["r1"]
