Emulated servers record when they worked on a request

What callers lose around a planned stop is judged by what the servers did: whether one had the request, broke off, or was at work when the grace period ended. Engines and services keep that for each request (ServerWork); waiting, preempted and moved runs are not at work. Engines may have a queue (waiting_max, none by default).

--- a/src/boragespring/platform/emulator/deployment.py
+++ b/src/boragespring/platform/emulator/deployment.py
@@ -84,6 +84,8 @@
         Limits on the size of requests in the platform's spelling, in bytes.
     version : int
         Version of the catalog that was written last.
+    catalog_times_s : list of float
+        Monotonic times in seconds at which catalogs were written.
     engine_spec : EngineSpec
         Speed and size of the engines that are added.
     engines, services : dict
@@ -110,6 +112,7 @@
         factory=lambda: {"header_bytes": 16384, "body_bytes": 65536}
     )
     version: int = 1
+    catalog_times_s: list[float] = field(factory=list)
     engine_spec: EngineSpec = EngineSpec()
     engines: dict[str, EmulatedEngine] = field(factory=dict)
     services: dict[str, EmulatedService] = field(factory=dict)
@@ -160,6 +163,7 @@
         Versions increase but are not consecutive.
         """
         self.version += 3
+        self.catalog_times_s.append(time.monotonic())
         document = {
             "version": self.version,
             "routes": [route_document(self.host, route) for route in self.routes],
--- a/src/boragespring/platform/emulator/engine.py
+++ b/src/boragespring/platform/emulator/engine.py
@@ -2,17 +2,24 @@
 
 import asyncio
 import itertools
-import json
 import time
 from collections.abc import Callable
 
 from aiohttp import web
-from attrs import define, evolve, field
+from attrs import define, field
 
 from boragespring.platform import names
 from boragespring.platform.emulator.crash_point import CrashingRequests, CrashPoint
+from boragespring.platform.emulator.engine_moves import free_copies, move_run
+from boragespring.platform.emulator.engine_replies import (
+    create_stream,
+    encode_event,
+    shared_parts,
+    truncate,
+)
 from boragespring.platform.emulator.engine_run import EngineRun, RunCopy
 from boragespring.platform.emulator.engine_spec import EngineSpec
+from boragespring.platform.emulator.server_work import ServerWork, end_by_crash
 
 __all__ = ["EmulatedEngine"]
 
@@ -21,13 +28,6 @@
 _CRASH_TIMEOUT_S = 5.0
 
 
-class _UnframedResponse(web.StreamResponse):
-    """Reply whose body ends when its connection is closed."""
-
-    # Without this, aiohttp sends a body of unknown length in chunks.
-    _length_check = False
-
-
 @define(eq=False)
 class EmulatedEngine:
     """Engine that streams numbered events; the data of each repeats its number.
@@ -52,6 +52,10 @@
         Number of load reports that were fetched.
     started_run_ids : list of str
         Request IDs of the runs that started here, not of those moved here.
+    works : list of ServerWork
+        What the server did with each generation request.
+    waiting_count : int
+        Number of requests that wait for a slot.
     refuses_copies : bool
         Whether copies from other engines are refused.
     truncates_at_event : int
@@ -92,6 +96,10 @@
         Monotonic time at which the server will stop; None if it is not leaving.
     port : int
         Port that it listens on; 0 before the start.
+    copy_numbers : iterator of int
+        Numbers of the copies that this engine makes.
+    transfer_lock : asyncio.Lock
+        Held while a copy leaves this engine.
     """
 
     server_id: str
@@ -103,6 +111,8 @@
     received_at_s: list[float] = field(factory=list)
     report_count: int = 0
     started_run_ids: list[str] = field(factory=list)
+    works: list[ServerWork] = field(factory=list)
+    waiting_count: int = 0
     refuses_copies: bool = False
     truncates_at_event: int = 0
     stalls_after_event: int = 0
@@ -120,8 +130,8 @@
     rate_limit: str = ""
     leaves_at_s: float | None = None
     port: int = 0
-    _copy_numbers: "itertools.count[int]" = field(factory=lambda: itertools.count(1))
-    _transfer_lock: asyncio.Lock = field(factory=asyncio.Lock)
+    copy_numbers: "itertools.count[int]" = field(factory=lambda: itertools.count(1))
+    transfer_lock: asyncio.Lock = field(factory=asyncio.Lock)
     _runner: web.AppRunner | None = None
     _crash_task: "asyncio.Task[None] | None" = None
 
@@ -166,6 +176,7 @@
     async def crash(self) -> None:
         """Stop at once and close all connections, as the end of a process does."""
         self.peers.pop(self.address, None)
+        end_by_crash(self.works)
         await self.stop_listening()
         if self._runner is not None and self._runner.server is not None:
             for connection in self._runner.server.connections:
@@ -207,7 +218,7 @@
             "models": [],
             "busy": False,
             "sequence": 1,
-            "waiting": 0,
+            "waiting": self.waiting_count,
             "running": len(self.runs),
             "kv_cache_used": self.used_tokens,
             "kv_cache_total": self.spec.memory_tokens,
@@ -220,73 +231,65 @@
         return web.json_response(body)
 
     async def _handle_move(self, request: web.Request) -> web.Response:
-        body = await request.json()
-        run = self.runs.get(body["id"])
-        if run is None or not run.event_count or run.is_preempted:
-            return web.json_response({}, status=404)
-        target = self.peers.get(body["target"])
-        if target is None or target.refuses_copies:
-            return web.json_response({}, status=503)
-        existing = target.copies.get(run.run_id)
-        new_tokens = run.token_count(self.spec) - (
-            existing.run.token_count(self.spec) if existing else 0
-        )
-        if target.used_tokens + new_tokens > target.spec.memory_tokens:
-            return web.json_response({}, status=503)
-        if body.get("last"):
-            run.is_moved = True
-        async with self._transfer_lock:
-            overhead_s = self.spec.final_copy_overhead_s if body.get("last") else 0.0
-            await asyncio.sleep(new_tokens * self.spec.copy_s_per_token + overhead_s)
-        copied = EngineRun(
-            run.run_id, run.prompt_tokens, run.event_count_max, run.event_count
-        )
-        copy_id = existing.copy_id if existing else f"c{next(self._copy_numbers)}"
-        target.copies[run.run_id] = RunCopy(copy_id, copied)
-        if body.get("last"):
-            # The memory of a stopped run also stays here until the copy is used.
-            self.copies[run.run_id] = RunCopy(copy_id, evolve(copied))
-        return web.json_response({"handle": copy_id, "created": run.event_count})
+        return await move_run(self, await request.json())
 
     async def _handle_copy_delete(self, request: web.Request) -> web.Response:
-        self._free_copies(request.match_info["copy"])
+        free_copies(self, request.match_info["copy"])
         return web.json_response({})
 
-    def _free_copies(self, copy_id: str) -> None:
-        for engine in self.peers.values():
-            for run_id, copy in list(engine.copies.items()):
-                if copy.copy_id == copy_id:
-                    del engine.copies[run_id]
-
     async def _handle_generate(self, request: web.Request) -> web.StreamResponse:
         headers = {name.lower(): value for name, value in request.headers.items()}
         self.received_headers.append(headers)
         self.received_at_s.append(time.monotonic())
         run_id = headers[names.REQUEST_ID.lower()]
+        work = ServerWork(run_id, self.server_id)
+        self.works.append(work)
         if headers.get(names.EXPECTED_SERVER.lower()) != self.server_id:
+            work.reject()
             return web.Response(status=421)
         body = await request.read()
         crash_point = self.crashing.receive(body, run_id) if self.crashing else None
+        await self._wait_for_slot(work, headers)
         run = None if self.retry_after else self._admit(run_id, headers)
         if run is None:
+            work.reject()
             return self._reject()
-        run.crash_point = crash_point
+        run.crash_point, run.work = crash_point, work
         stream = asyncio.ensure_future(self._execute(request, run))
         return await (asyncio.shield(stream) if self.keeps_runs else stream)
 
+    async def _wait_for_slot(self, work: ServerWork, headers: dict[str, str]) -> None:
+        """Wait while the server is full, if its queue has room."""
+        is_moved = names.COPY_SOURCE.lower() in headers
+        if is_moved or self.waiting_count >= self.spec.waiting_max:
+            return
+        self.waiting_count += 1
+        try:
+            while len(self.runs) >= self.spec.slots:  # noqa: ASYNC110
+                await asyncio.sleep(self.spec.event_interval_s)
+        except asyncio.CancelledError:
+            work.end()
+            raise
+        finally:
+            self.waiting_count -= 1
+
     async def _execute(
         self, request: web.Request, run: EngineRun
     ) -> web.StreamResponse:
         self.runs[run.run_id] = run
         run.transport = request.transport
+        run.resume()
         try:
             return await self._stream(request, run)
         finally:
             self.runs.pop(run.run_id, None)
+            run.end()
 
     def lose_replies(self) -> None:
         """Reset the connections of all replies in progress."""
         for run in self.runs.values():
+            if run.work is not None:
+                run.work.has_broken_off = True
             if run.transport is not None:
                 run.transport.abort()
 
@@ -302,7 +305,7 @@
             copy = self.copies.pop(run_id, None)
             if copy is None or not source.endswith(f"/{copy.copy_id}"):
                 return None
-            self._free_copies(copy.copy_id)
+            free_copies(self, copy.copy_id)
             return copy.run
         prompt_tokens, output_tokens = map(
             int, headers[names.TOKEN_COUNTS.lower()].split(",")
@@ -321,62 +324,55 @@
             await asyncio.sleep(run.prompt_tokens / self.spec.prefill_tokens_per_s)
         if run.crash_point is not None and not run.crash_point.has_head:
             await self._crash_by_request(run.crash_point)
-        response = self._create_response(run)
+        response = create_stream(run.run_id, self.sends_unframed)
         if names.COPY_SOURCE in request.headers and not self.is_resumed_signed:
             del response.headers[names.SIGNATURE]
         await response.prepare(request)
         last_event_id = int(request.headers.get(names.LAST_EVENT_ID) or 0)
-        if self.crashing_parts.intersection(_shared_parts(request)):
+        if self.crashing_parts.intersection(shared_parts(request)):
             await self._crash()
         # Events that were sent after the copy was taken are not repeated. Their
         # tokens count as recomputed here.
         run.event_count = max(run.event_count, last_event_id)
         for event_number in range(last_event_id + 1, run.event_count + 1):
-            await response.write(_encode_event(event_number))
+            await response.write(encode_event(event_number))
         while run.event_count < run.event_count_max:
             if run.crash_point and run.event_count >= run.crash_point.events:
                 await self._crash_by_request(run.crash_point)
             await asyncio.sleep(self.spec.event_interval_s)
             await self._wait_while_preempted(run)
             if run.is_moved:
-                return _truncate(request, response)
+                return truncate(request, response)
             if self.stalls_after_event and run.event_count == self.stalls_after_event:
                 await response.write(b":")
                 continue
             run.event_count += 1
             if run.event_count == self.closes_before_event:
                 self.closes_before_event = 0
-                return _truncate(request, response)
+                return self._break_off(run, request, response)
             if run.event_count == self.truncates_at_event:
                 self.truncates_at_event = 0
-                await response.write(_encode_event(run.event_count)[:-6])
-                return _truncate(request, response)
+                await response.write(encode_event(run.event_count)[:-6])
+                return self._break_off(run, request, response)
             await self._write_event(response, run)
         if run.crash_point is not None:
             await self._crash_by_request(run.crash_point)
         return response
 
+    def _break_off(
+        self, run: EngineRun, request: web.Request, response: web.StreamResponse
+    ) -> web.StreamResponse:
+        if run.work is not None:
+            run.work.break_off()
+        return truncate(request, response)
+
     async def _write_event(self, response: web.StreamResponse, run: EngineRun) -> None:
         try:
-            await response.write(_encode_event(run.event_count))
+            await response.write(encode_event(run.event_count))
         except ConnectionResetError:
             if not self.keeps_runs:
                 raise
 
-    def _create_response(self, run: EngineRun) -> web.StreamResponse:
-        headers = {
-            "Content-Type": "text/event-stream",
-            names.REQUEST_ID: run.run_id,
-            names.SIGNATURE: "signed",
-        }
-        if self.sends_unframed:
-            unframed = _UnframedResponse(headers=headers)
-            unframed.force_close()
-            return unframed
-        chunked = web.StreamResponse(headers=headers)
-        chunked.enable_chunked_encoding()
-        return chunked
-
     async def _wait_while_preempted(self, run: EngineRun) -> None:
         """Preempt a run if it is the newest one and the KV cache is full.
 
@@ -386,9 +382,11 @@
         if not self._must_wait_for_memory(run):
             return
         run.is_preempted = True
+        run.pause()
         self.preemptions += 1
         while self._must_wait_for_memory(run):  # noqa: ASYNC110
             await asyncio.sleep(self.spec.event_interval_s)
+        run.resume()
         await asyncio.sleep(run.token_count(self.spec) / self.spec.prefill_tokens_per_s)
         run.is_preempted = False
 
@@ -401,20 +399,3 @@
     def _newest_run(self) -> EngineRun | None:
         running = [run for run in self.runs.values() if not run.is_preempted]
         return running[-1] if len(running) > 1 else None
-
-
-def _shared_parts(request: web.Request) -> list[str]:
-    """Return the identifiers of all parts of the prompt but the last one."""
-    parts = request.headers.get(names.PROMPT_PARTS, "").split(",")
-    return [part.partition(":")[0] for part in parts[:-1]]
-
-
-def _encode_event(event_number: int) -> bytes:
-    return f"id: {event_number}\ndata: {json.dumps({'n': event_number})}\n\n".encode()
-
-
-def _truncate(request: web.Request, response: web.StreamResponse) -> web.StreamResponse:
-    """Close the connection before the stream is complete."""
-    if request.transport is not None:
-        request.transport.close()
-    return response
--- a/src/boragespring/platform/emulator/engine_spec.py
+++ b/src/boragespring/platform/emulator/engine_spec.py
@@ -28,6 +28,8 @@
     report_age_s : float
         Age of a load report when it is read, in seconds. The reported time until
         the server leaves is too long by this value.
+    waiting_max : int
+        Maximum number of requests that wait for a slot; others are rejected.
     """
 
     slots: int = 24
@@ -38,3 +40,4 @@
     copy_s_per_token: float = 0.00002
     final_copy_overhead_s: float = 0.0
     report_age_s: float = 0.0
+    waiting_max: int = 0
--- a/src/boragespring/platform/emulator/service.py
+++ b/src/boragespring/platform/emulator/service.py
@@ -17,6 +17,7 @@
 from boragespring.platform import names
 from boragespring.platform.emulator.catalog import PLAIN_SERVICE
 from boragespring.platform.emulator.crash_point import CrashingRequests, CrashPoint
+from boragespring.platform.emulator.server_work import ServerWork, end_by_crash
 
 __all__ = ["EmulatedService", "ReceivedRequest", "ServiceFault"]
 
@@ -58,6 +59,17 @@
     OTHER_SERVER = auto()
 
 
+#: Faults with which a server ends a reply itself before it is complete.
+BREAKING_FAULTS = frozenset(
+    (
+        ServiceFault.RESET,
+        ServiceFault.TRUNCATED,
+        ServiceFault.UNFRAMED_RESET,
+        ServiceFault.GARBAGE,
+    )
+)
+
+
 @frozen
 class ReceivedRequest:
     """Request as received by a server; header names are in lower case."""
@@ -123,6 +135,8 @@
         Body of the replies with the fault `ERROR`.
     runs : list of str
         Request IDs of all executions, including cancelled ones.
+    works : list of ServerWork
+        What the server did with each request.
     cancelled : list of str
         Request IDs of the executions that the gateway cancelled by closing the
         connection.
@@ -149,6 +163,7 @@
     cold_remaining_ms: str = ""
     error_body: bytes = b""
     runs: list[str] = field(factory=list)
+    works: list[ServerWork] = field(factory=list)
     cancelled: list[str] = field(factory=list)
     crashing: CrashingRequests | None = None
     has_crashed: bool = False
@@ -174,6 +189,7 @@
     async def crash(self) -> None:
         """Stop listening and close all connections, as the end of a process does."""
         self.has_crashed = True
+        end_by_crash(self.works)
         await self.stop()
         for writer in self._writers:
             writer.close()
@@ -205,7 +221,10 @@
         crash_point = (
             self.crashing.receive(request.body, request_id) if self.crashing else None
         )
+        work = ServerWork(request_id, self.server_id)
+        self.works.append(work)
         if fault is ServiceFault.SHED:
+            work.reject()
             not_run = {names.NOT_RUN: "1", **self._state_headers()}
             if self.retry_after:
                 not_run[names.RETRY_AFTER] = self.retry_after
@@ -217,6 +236,7 @@
             writer.write(_encode_reply(503, request_id, b"", not_run))
             return
         if fault is ServiceFault.OTHER_SERVER:
+            work.reject()
             headers = self._state_headers()
             writer.write(_encode_reply(421, request_id, b"", headers))
             return
@@ -224,9 +244,14 @@
         if crash_point is not None:
             await self._crash_at(crash_point, request_id, writer)
             return
-        if not await self._execute(reader, request_id):
-            return
-        await self._write_reply(fault, request_id, writer)
+        work.resume()
+        try:
+            if await self._execute(reader, request_id):
+                await self._write_reply(fault, request_id, writer)
+                if fault in BREAKING_FAULTS:
+                    work.break_off()
+        finally:
+            work.end()
 
     async def _crash_at(
         self, point: CrashPoint, request_id: str, writer: asyncio.StreamWriter
