Emulated copies of two engines have different names

A run that moved got 503 at its target, and its stream was cut, as another engine's copy was freed: copies were named c1, c2, ... by each engine, and freed by name on all of them. No fault of the gateway: its log says status 503 at the target.

--- a/src/boragespring/platform/emulator/engine_moves.py
+++ b/src/boragespring/platform/emulator/engine_moves.py
@@ -44,7 +44,8 @@
     copied = EngineRun(
         run.run_id, run.prompt_tokens, run.event_count_max, run.event_count
     )
-    copy_id = existing.copy_id if existing else f"c{next(engine.copy_numbers)}"
+    new_id = f"{engine.server_id}-c{next(engine.copy_numbers)}"
+    copy_id = existing.copy_id if existing else new_id
     target.copies[run.run_id] = RunCopy(copy_id, copied)
     if body.get("last"):
         # The memory of a stopped run also stays here until the copy is used.
