Soak: planned stops with callers that keep their connections

A verdict of its own judges each cut as the users' rule LOST has it, with each of its excuses, and says which it was. Processes that end by themselves are reported.

--- a/src/boragespring/platform/soak/breaches.py
+++ b/src/boragespring/platform/soak/breaches.py
@@ -23,5 +23,8 @@
     OVER_RATE = "more_than_the_named_rate"
     SENT_TO_DRAINED = "sent_to_drained_zone"
     OVER_COLD_RATE = "more_than_a_cold_server_takes"
+    LOST = "lost"
+    UNANSWERED = "kept_connections_closed_unanswered"
+    ENDED_BY_ITSELF = "process_ended_by_itself"
     NOT_READY = "not_ready_after_faults"
     EXIT_CODE = "exit_code"
--- a/src/boragespring/platform/soak/callers.py
+++ b/src/boragespring/platform/soak/callers.py
@@ -10,11 +10,11 @@
 from attrs import define, field
 
 from boragespring.platform import names
-from boragespring.platform.soak.deployment import SoakDeployment, SoakGateway
+from boragespring.platform.soak.deployment import SoakDeployment
+from boragespring.platform.soak.soak_gateway import SoakGateway
 
 __all__ = ["CallRecord", "Callers", "RequestKind"]
 
-REQUESTS_PER_S = 40.0
 BUFFERED_TIME_REMAINING_S = 1.5
 STREAM_TIME_REMAINING_S = 12.0
 #: Time beyond the deadline of a request after which its caller gives up.
@@ -89,6 +89,12 @@
         Whether the caller disconnects on purpose.
     headers : dict of str to str
         Headers of the response.
+    time_remaining_s : float
+        Time in seconds for which the caller waits.
+    sent_whole_at_s : float
+        Monotonic time at which the last byte was sent; infinite if it was not.
+    is_on_kept_connection : bool
+        Whether the connection is used until the gateway closes it, and was used before.
     """
 
     request_id: str
@@ -110,6 +116,9 @@
     disconnects_early: bool = False
     ended_at_s: float = 0.0
     headers: dict[str, str] = field(factory=dict)
+    time_remaining_s: float = float("inf")
+    sent_whole_at_s: float = float("inf")
+    is_on_kept_connection: bool = False
 
     @property
     def met_no_gateway(self) -> bool:
@@ -126,6 +135,8 @@
         Deployment whose gateways are called.
     rng : random.Random
         Generates the kinds, API keys and sizes of the requests.
+    requests_per_s : float
+        Mean rate.
 
     Attributes
     ----------
@@ -133,7 +144,10 @@
         Records of all requests, in the order in which they were created.
     """
 
-    def __init__(self, deployment: SoakDeployment, rng: random.Random) -> None:
+    def __init__(
+        self, deployment: SoakDeployment, rng: random.Random, requests_per_s: float
+    ) -> None:
+        self._requests_per_s = requests_per_s
         self._deployment = deployment
         self._rng = rng
         #: Kind of the requests that crash their servers by their bodies, drawn from a
@@ -152,7 +166,7 @@
             group.create_task(self._send_crashing(session, group, end_s))
             while time.monotonic() < end_s:
                 group.create_task(self._call(session, self._create_record()))
-                await asyncio.sleep(self._rng.expovariate(REQUESTS_PER_S))
+                await asyncio.sleep(self._rng.expovariate(self._requests_per_s))
 
     async def _send_crashing(
         self, session: aiohttp.ClientSession, group: asyncio.TaskGroup, end_s: float
@@ -213,6 +227,9 @@
         is_draft = record.kind is RequestKind.DRAFT
         remaining_s = STREAM_TIME_REMAINING_S if is_draft else BUFFERED_TIME_REMAINING_S
         timeout_s = remaining_s + TIMEOUT_TOLERANCE_S
+        record.time_remaining_s = remaining_s
+        # aiohttp does not say when, and the bodies are small.
+        record.sent_whole_at_s = record.sent_at_s
         if record.disconnects_early:
             timeout_s = self._rng.uniform(0.01, 0.3)
         try:
--- a/src/boragespring/platform/soak/deployment.py
+++ b/src/boragespring/platform/soak/deployment.py
@@ -5,27 +5,27 @@
 import signal
 import socket
 import time
-from collections.abc import AsyncIterator
+from collections.abc import Awaitable, Callable, Sequence
 from http import HTTPStatus
 from pathlib import Path
 
 import aiohttp
-from attrs import define, field
 
 from boragespring.child_processes import ProcessSet, free_ports
 from boragespring.faults.relay import Relay
-from boragespring.platform.emulator import EmulatedPlatform, EngineSpec
+from boragespring.platform.emulator import EmulatedPlatform
 from boragespring.platform.names import READY_PATH
+from boragespring.platform.soak.sent_signal import SentSignal
+from boragespring.platform.soak.shape import RunShape
+from boragespring.platform.soak.soak_gateway import FAILED_CHECKS_MAX, SoakGateway
 
-__all__ = ["SoakDeployment", "SoakGateway"]
+__all__ = ["SoakDeployment"]
 
 LOOPBACK = "127.0.0.1"
-ENGINES, SERVICES, GATEWAYS = 3, 2, 3
-STOP_GRACE_S = 4.0
 CATALOG_DELAY_S = 2.0
 READY_POLL_INTERVAL_S = 0.1
+EXIT_CHECK_S = 0.01
 READY_CHECK_TIMEOUT_S = 0.5
-FAILED_CHECKS_MAX = 2
 START_TIMEOUT_S = 15.0
 #: Number of loopback subnets. Concurrent runs use different ones.
 NETWORKS = 250
@@ -49,82 +49,6 @@
 """
 
 
-@define(eq=False)
-class SoakGateway:
-    """Gateway process and the relay between it and the store.
-
-    Parameters
-    ----------
-    name : str
-        Name of the instance.
-    host : str
-        Its loopback address.
-    callers_port, ready_port : int
-        Ports for requests and for readiness checks.
-    settings_path : Path
-        Path of its settings file.
-    relay : Relay
-        Relay through which it connects to the store.
-    start_count : int
-        Number of starts so far.
-    failed_checks : int
-        Number of consecutive failed readiness checks.
-    has_been_ready : bool
-        Whether the current process was ready at least once.
-    exit_codes : list of int
-        Exit codes of planned stops.
-    disturbances : list of tuple of float
-        Monotonic times of the begin and the end of all that kept the process from
-        running.
-    fault_lock : asyncio.Lock
-        Held while a fault that stops or signals this gateway is in progress.
-    """
-
-    name: str
-    host: str
-    callers_port: int
-    ready_port: int
-    settings_path: Path
-    relay: Relay
-    start_count: int = 0
-    failed_checks: int = FAILED_CHECKS_MAX
-    has_been_ready: bool = False
-    exit_codes: list[int] = field(factory=list)
-    disturbances: list[tuple[float, float]] = field(factory=list)
-    fault_lock: asyncio.Lock = field(factory=asyncio.Lock)
-
-    @property
-    def process_name(self) -> str:
-        """Name of the current process in the process set."""
-        return f"{self.name}-{self.start_count}"
-
-    @property
-    def url(self) -> str:
-        """Base URL for callers."""
-        return f"http://{self.host}:{self.callers_port}"
-
-    @contextlib.asynccontextmanager
-    async def disturbed(self) -> AsyncIterator[None]:
-        """Record a disturbance, of which there is one at a time."""
-        async with self.fault_lock:
-            began_at_s = time.monotonic()
-            try:
-                yield
-            finally:
-                self.disturbances.append((began_at_s, time.monotonic()))
-
-    def was_undisturbed(self, from_s: float, to_s: float) -> bool:
-        """Return whether nothing kept the process from running in a period."""
-        return all(
-            end_s < from_s or to_s < begin_s for begin_s, end_s in self.disturbances
-        )
-
-    @property
-    def is_in_rotation(self) -> bool:
-        """Whether the load balancer sends new requests to the gateway."""
-        return self.failed_checks < FAILED_CHECKS_MAX
-
-
 class LoopbackNetwork:
     """Loopback subnet that no other run on this machine uses until it is closed.
 
@@ -166,6 +90,8 @@
         one that is free if another run uses it.
     directory : Path
         Directory for settings and log files.
+    shape : RunShape
+        Size and speed.
 
     Attributes
     ----------
@@ -175,20 +101,26 @@
         Gateways and the relays through which they connect to the store.
     """
 
-    def __init__(self, network: int, directory: Path) -> None:
+    def __init__(
+        self, network: int, directory: Path, shape: RunShape | None = None
+    ) -> None:
+        self.shape = shape or RunShape()
         self._network = LoopbackNetwork(network)
         self._directory = directory
         self._processes = ProcessSet(directory)
         self._poll_task: asyncio.Task[None] | None = None
-        spec = EngineSpec(event_interval_s=0.01, copy_s_per_token=0.00002)
         self.platform = EmulatedPlatform(
-            engine_spec=spec, keys={"coop": ["key-1", "key-2"], "other": ["key-3"]}
+            engine_spec=self.shape.engine_spec,
+            routes=self.shape.routes,
+            keys={"coop": ["key-1", "key-2"], "other": ["key-3"]},
         )
         self.gateways: list[SoakGateway] = []
 
     async def __aenter__(self) -> "SoakDeployment":
-        await self.platform.start(ENGINES, SERVICES)
-        for number in range(GATEWAYS):
+        await self.platform.start(self.shape.engines, self.shape.services)
+        for service in self.platform.services.values():
+            service.execution_s = self.shape.execution_s
+        for number in range(self.shape.gateways):
             await self._add_gateway(number)
         self._poll_task = asyncio.create_task(self._poll_readiness())
         await self.wait_ready()
@@ -203,8 +135,12 @@
         await self.platform.stop()
         self._network.close()
 
-    async def wait_ready(self, timeout_s: float = START_TIMEOUT_S) -> None:
-        """Wait until every gateway is in rotation.
+    async def wait_ready(
+        self,
+        timeout_s: float = START_TIMEOUT_S,
+        gateways: Sequence[SoakGateway] = (),
+    ) -> None:
+        """Wait until gateways are in rotation; by default all.
 
         Raises
         ------
@@ -213,7 +149,7 @@
         """
         async with asyncio.timeout(timeout_s):
             while not all(  # noqa: ASYNC110
-                gateway.is_in_rotation for gateway in self.gateways
+                gateway.is_in_rotation for gateway in gateways or self.gateways
             ):
                 await asyncio.sleep(READY_POLL_INTERVAL_S)
 
@@ -242,20 +178,60 @@
             str(gateway.settings_path),
         )
 
-    async def stop(self, gateway: SoakGateway) -> None:
-        """Stop a gateway with SIGTERM, record its exit code and restart it."""
+    async def stop(
+        self,
+        gateway: SoakGateway,
+        down_s: float = 0.0,
+        during: Callable[[SoakGateway], Awaitable[None]] | None = None,
+    ) -> None:
+        """Stop a gateway with SIGTERM, record its exit code and restart it.
+
+        Parameters
+        ----------
+        gateway : SoakGateway
+            Gateway to stop.
+        down_s : float
+            Time in seconds between its end and the restart.
+        during : callable or None
+            Does something else to the process in the meantime.
+        """
         async with gateway.disturbed():
+            await self._note_own_end(gateway)
             was_ready = gateway.has_been_ready
             self.signal(gateway, signal.SIGTERM)
-            code = await self._processes.wait(gateway.process_name, 2 * STOP_GRACE_S)
+            code = await self._wait_stopped(gateway, during if was_ready else None)
             # Until the signal handler is installed, SIGTERM itself ends the process.
             if was_ready or code != -signal.SIGTERM:
                 gateway.exit_codes.append(code)
+            await asyncio.sleep(down_s)
             await self.start(gateway)
+        gateway.stops.append(gateway.disturbances[-1])
+
+    async def _wait_stopped(
+        self,
+        gateway: SoakGateway,
+        during: Callable[[SoakGateway], Awaitable[None]] | None,
+    ) -> int:
+        beside = [asyncio.ensure_future(during(gateway))] if during else []
+        grace_s, name = self.shape.grace_s, gateway.process_name
+        try:
+            if not self.shape.is_killed_after_grace:
+                return await self._processes.wait(name, 2 * grace_s)
+            return await self._processes.wait(name, grace_s)
+        except TimeoutError:
+            if not self.shape.is_killed_after_grace:
+                raise
+            self.signal(gateway, signal.SIGKILL)
+            return await self._processes.wait(name)
+        finally:
+            for task in beside:
+                task.cancel()
+            await asyncio.gather(*beside, return_exceptions=True)
 
     async def kill(self, gateway: SoakGateway, down_s: float) -> None:
         """Kill a gateway and restart it after `down_s` seconds."""
         async with gateway.disturbed():
+            await self._note_own_end(gateway)
             self.signal(gateway, signal.SIGKILL)
             await self._processes.wait(gateway.process_name)
             await asyncio.sleep(down_s)
@@ -269,8 +245,25 @@
             self.signal(gateway, signal.SIGCONT)
 
     def signal(self, gateway: SoakGateway, number: signal.Signals) -> None:
-        """Send a signal to the process of a gateway."""
-        self._processes.signal(gateway.process_name, number)
+        """Send a signal to the process of a gateway, unless it has ended."""
+        try:
+            self._processes.signal(gateway.process_name, number)
+        except ProcessLookupError:
+            return
+        if number in (signal.SIGTERM, signal.SIGHUP):
+            sent = SentSignal(
+                gateway.name, gateway.start_count, number, time.monotonic()
+            )
+            gateway.signals.append(sent)
+
+    async def note_own_ends(self) -> None:
+        """Record which processes do not run though they should."""
+        await asyncio.gather(*map(self._note_own_end, self.gateways))
+
+    async def _note_own_end(self, gateway: SoakGateway) -> None:
+        with contextlib.suppress(TimeoutError):
+            code = await self._processes.wait(gateway.process_name, EXIT_CHECK_S)
+            gateway.own_ends.append(code)
 
     async def _add_gateway(self, number: int) -> None:
         host = self._network.host(number + 1)
@@ -285,7 +278,7 @@
             callers=callers,
             ready=ready,
             catalog_delay_ms=CATALOG_DELAY_S * 1000,
-            grace_s=STOP_GRACE_S,
+            grace_s=self.shape.grace_s,
             store=f"{LOOPBACK}:{relay.port}",
         )
         path.write_text(text, encoding="utf-8")
--- a/src/boragespring/platform/soak/injector.py
+++ b/src/boragespring/platform/soak/injector.py
@@ -13,15 +13,17 @@
 from boragespring.platform.soak.deployment import (
     CATALOG_DELAY_S,
     SoakDeployment,
-    SoakGateway,
 )
 from boragespring.platform.soak.schedule import SoakFault, SoakFaultKind
 from boragespring.platform.soak.server_faults import FaultHandler, ServerFaults
+from boragespring.platform.soak.soak_gateway import SoakGateway
+from boragespring.platform.soak.stop_faults import StopFaults
 from boragespring.platform.soak.verdict import KeyRemoval
 
 __all__ = ["SoakInjector"]
 
 ALL_DOWN_S = 0.3
+ROLLING_STOP_MAX = 3
 STORE_DELAY_S = 0.3
 #: Time after the return of the store in which servers and operator write again.
 REWRITE_DELAY_S = 0.8
@@ -39,6 +41,7 @@
         SoakFaultKind.STORE_REPLIES_LOST,
         SoakFaultKind.FROZEN,
         SoakFaultKind.STORE_RESTORED,
+        SoakFaultKind.STOP_FROZEN,
     )
 )
 
@@ -70,6 +73,7 @@
         self.server_faults = ServerFaults(self.deployment.platform)
         self._handlers = {
             **self.server_faults.handlers,
+            **StopFaults(self.deployment).handlers,
             SoakFaultKind.STOPPED: self._stop,
             SoakFaultKind.ROLLING_STOP: self._stop_sequentially,
             SoakFaultKind.KILLED: self._kill,
@@ -110,12 +114,15 @@
         await self.deployment.stop(self._gateway(fault))
 
     async def _stop_sequentially(self, fault: SoakFault) -> None:
-        """Restart all gateways one after another while the catalog changes."""
-        for gateway in self.deployment.gateways:
+        """Restart gateways one after another while the catalog changes."""
+        has_other_stops = self.deployment.shape.has_stops
+        for gateway in self.deployment.gateways[:ROLLING_STOP_MAX]:
             self.deployment.platform.publish_catalog()
             # `stop` also starts the gateway again.
             await self.deployment.stop(gateway)
-            await self.deployment.wait_ready()
+            await self.deployment.wait_ready(
+                gateways=[gateway] if has_other_stops else ()
+            )
 
     async def _kill(self, fault: SoakFault) -> None:
         await self.deployment.kill(self._gateway(fault), fault.duration_s)
--- a/src/boragespring/platform/soak/schedule.py
+++ b/src/boragespring/platform/soak/schedule.py
@@ -5,6 +5,7 @@
 from enum import StrEnum
 
 from boragespring.faults import SeededFault
+from boragespring.platform.soak.shape import STOP_SEED_MIN
 
 __all__ = [
     "GROUPS",
@@ -48,6 +49,13 @@
     ROUTES_MOVED = "routes_moved_to_another_service"
     ZONE_DRAINED = "zone_drained"
     SERVER_COLD = "server_turns_cold"
+    STOP_SERIES = "stops_in_series"
+    ALL_STOPPED = "all_stopped_within_a_second"
+    STOP_RELOADED = "gateway_stopped_and_reloaded"
+    STOP_FROZEN = "gateway_frozen_in_its_stop"
+    STOP_REPEATED = "gateway_stopped_twice"
+    CHANGE_SERIES = "changes_in_series"
+    CRASH_SERIES = "crashes_in_series"
 
 
 #: Planned operations, which alone must not truncate any response.
@@ -62,6 +70,11 @@
         SoakFaultKind.ROUTES_MOVED,
         SoakFaultKind.ZONE_DRAINED,
         SoakFaultKind.SERVER_COLD,
+        SoakFaultKind.STOP_SERIES,
+        SoakFaultKind.ALL_STOPPED,
+        SoakFaultKind.STOP_RELOADED,
+        SoakFaultKind.STOP_REPEATED,
+        SoakFaultKind.CHANGE_SERIES,
     )
 )
 #: Kinds that are drawn apart from the others, so that a seed keeps the faults of the
@@ -77,6 +90,15 @@
 LATEST_KINDS = (SoakFaultKind.REQUEST_CRASHES, SoakFaultKind.ENTRY_RETURNS)
 ROUTE_KINDS = (SoakFaultKind.ROUTES_MOVED,)
 ZONE_KINDS = (SoakFaultKind.ZONE_DRAINED, SoakFaultKind.SERVER_COLD)
+STOP_KINDS = (
+    SoakFaultKind.STOP_SERIES,
+    SoakFaultKind.ALL_STOPPED,
+    SoakFaultKind.STOP_RELOADED,
+    SoakFaultKind.STOP_FROZEN,
+)
+#: What happens beside such stops.
+BESIDE_KINDS = (SoakFaultKind.CHANGE_SERIES, SoakFaultKind.CRASH_SERIES)
+REPEAT_KINDS = (SoakFaultKind.STOP_REPEATED,)
 #: Lowest seed with faults of each group of kinds, so that seeds that failed before the
 #: group was added still play what they played then.
 GROUPS = (
@@ -85,7 +107,12 @@
     ("latest", LATEST_KINDS, 200_000),
     ("routes", ROUTE_KINDS, 300_000),
     ("zones", ZONE_KINDS, 400_000),
+    ("stops", STOP_KINDS, STOP_SEED_MIN),
+    ("beside", BESIDE_KINDS, 510_000),
+    ("repeats", REPEAT_KINDS, 600_000),
 )
+#: Groups of which each seed has a fault.
+NEEDED_GROUPS = ("stops",)
 GROUP_FAULTS_MAX = 2
 
 FAULTS_MIN, FAULTS_MAX = 2, 4
@@ -99,10 +126,19 @@
     SoakFaultKind.ROUTES_MOVED: 7.0,
     SoakFaultKind.ZONE_DRAINED: 6.0,
     SoakFaultKind.SERVER_COLD: 5.0,
+    SoakFaultKind.STOP_SERIES: 14.0,
+    SoakFaultKind.ALL_STOPPED: 10.0,
+    SoakFaultKind.STOP_RELOADED: 10.0,
+    SoakFaultKind.STOP_FROZEN: 10.0,
+    SoakFaultKind.STOP_REPEATED: 10.0,
+    SoakFaultKind.CHANGE_SERIES: 10.0,
+    SoakFaultKind.CRASH_SERIES: 10.0,
 }
 DURATION_MIN_S, DURATION_MAX_S = 0.2, 2.0
-#: Seeds that are a multiple of this number generate planned operations only.
+#: Seeds that are a multiple of this number generate planned operations only. Of those
+#: with planned stops, all do but one in this many.
 PLANNED_SEED_INTERVAL = 4
+UNPLANNED_STOP_PLACE = 3
 
 
 SoakFault = SeededFault[SoakFaultKind]
@@ -110,8 +146,7 @@
 
 def generate_faults(seed: int) -> tuple[SoakFault, ...]:
     """Return the faults of a seed; the same seed always gives the same faults."""
-    is_planned = seed % PLANNED_SEED_INTERVAL == 0
-    allowed = sorted(PLANNED_KINDS) if is_planned else list(SoakFaultKind)
+    allowed = _allowed_kinds(seed)
     rng = random.Random(seed)
     grouped = {kind for _, kinds, _ in GROUPS for kind in kinds}
     first_kinds = [kind for kind in allowed if kind not in grouped]
@@ -121,11 +156,20 @@
             break
         group_rng = random.Random(f"{name} {seed}")
         group_kinds = [kind for kind in allowed if kind in kinds]
-        count = group_rng.randint(0, GROUP_FAULTS_MAX) if group_kinds else 0
+        count_min = int(name in NEEDED_GROUPS)
+        count = group_rng.randint(count_min, GROUP_FAULTS_MAX) if group_kinds else 0
         faults = (*faults, *_draw_faults(group_rng, group_kinds, count))
     return faults
 
 
+def _allowed_kinds(seed: int) -> list[SoakFaultKind]:
+    place = seed % PLANNED_SEED_INTERVAL
+    if seed < STOP_SEED_MIN:
+        return list(SoakFaultKind) if place else sorted(PLANNED_KINDS)
+    is_planned = place != UNPLANNED_STOP_PLACE
+    return sorted(PLANNED_KINDS) if is_planned else list(SoakFaultKind)
+
+
 def _draw_faults(
     rng: random.Random, kinds: Sequence[SoakFaultKind], count: int
 ) -> tuple[SoakFault, ...]:
--- a/src/boragespring/platform/soak/server_faults.py
+++ b/src/boragespring/platform/soak/server_faults.py
@@ -3,7 +3,7 @@
 import asyncio
 import itertools
 import time
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 
 from attrs import define, evolve, field
 
@@ -11,13 +11,13 @@
     CrashPoint,
     EmulatedPlatform,
     EmulatedService,
+    RouteSpec,
     ServiceFault,
 )
 from boragespring.platform.emulator.catalog import (
     FURTHER_SERVICES,
     MODEL_SERVICE,
     PLAIN_SERVICE,
-    STANDARD_ROUTES,
 )
 from boragespring.platform.names import REGISTRATION_PREFIX
 from boragespring.platform.soak.callers import CRASHING_BODY, CRASHING_PART
@@ -84,6 +84,10 @@
     named_rates: list[NamedRate] = field(factory=list)
     drains: list[ZoneDrain] = field(factory=list)
     cold_times: list[ColdTime] = field(factory=list)
+    _first_routes: Sequence[RouteSpec] = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._first_routes = self.platform.routes
 
     @property
     def handlers(self) -> Mapping[SoakFaultKind, FaultHandler]:
@@ -148,7 +152,7 @@
         is_moving = any(
             server.service in FURTHER_SERVICES for server in platform.services.values()
         )
-        if is_moving or platform.routes is not STANDARD_ROUTES:
+        if is_moving or platform.routes is not self._first_routes:
             return
         for name in FURTHER_SERVICES:
             for number in range(FURTHER_SERVERS):
--- a/src/boragespring/platform/soak/tests/test_soak.py
+++ b/src/boragespring/platform/soak/tests/test_soak.py
@@ -30,6 +30,9 @@
 #: while its route moves between services; a zone is drained and a server turns cold;
 #: two moves of routes begin within seconds while one of the new servers names a rate.
 SEEDS = (22, 44, 35, 6027, 91008, 100007, 200003, 200029, 300001, 400036, 402038)
+#: Gateways stop in series, read their settings again, and engines leave, while callers
+#: keep their connections.
+STOP_SEEDS = (510_000,)
 NEVER_S = float("inf")
 
 
@@ -167,7 +170,7 @@
 
 
 def test_seeds_generate_every_kind_and_planned_operations_alone():
-    schedules = [generate_faults(seed) for seed in range(400_000, 400_300)]
+    schedules = [generate_faults(seed) for seed in range(600_000, 600_300)]
     assert kinds_of(schedules) == set(SoakFaultKind)
     assert kinds_of(schedules[::4]) <= PLANNED_KINDS
     assert generate_faults(7) == generate_faults(7)
@@ -195,3 +198,10 @@
     assert not report.breaches, report.describe()
     met_a_gateway = report.endings.total() - report.endings[NOBODY_UP]
     assert report.endings["status_200"] > 0.5 * met_a_gateway
+
+
+@pytest.mark.parametrize("seed", STOP_SEEDS)
+async def test_gateways_lose_nothing_in_planned_stops(tmp_path, seed):
+    report = await run_soak(seed, tmp_path, network=seed)
+    assert not report.breaches, report.describe()
+    assert report.endings["status_200"] > 100
