Soak: a zone is drained once per run

Two drains of it overlapped, at 1143.22 and 1143.52 s; the end of the first at 1149.22 s, which all gateways log as zone_restored, lay within the second. A run was meant to drain it once, but noted that only at the end of the drain.

--- a/src/boragespring/platform/soak/server_faults.py
+++ b/src/boragespring/platform/soak/server_faults.py
@@ -84,6 +84,7 @@
     named_rates: list[NamedRate] = field(factory=list)
     drains: list[ZoneDrain] = field(factory=list)
     cold_times: list[ColdTime] = field(factory=list)
+    _has_drained: bool = field(default=False, init=False)
     _first_routes: Sequence[RouteSpec] = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -109,7 +110,7 @@
         }
 
     async def _drain_zone(self, fault: SoakFault) -> None:
-        """Drain a zone with one service, unless it is drained, and restore it."""
+        """Drain a zone with one service and restore it, at most once per run."""
         platform = self.platform
         servers = [
             server
@@ -117,8 +118,9 @@
             if server.service == PLAIN_SERVICE
         ]
         server = servers[fault.choice % len(servers)]
-        if self.drains or server.has_crashed:
+        if self._has_drained or server.has_crashed:
             return
+        self._has_drained = True
         self._register(server, zone=DRAINED_ZONE)
         platform.drain_zone(DRAINED_ZONE)
         began_at_s = time.monotonic()
