Fix: a registration with an unusable value no longer costs requests

What callers saw: for as long as an entry stood whose address has an unclosed bracket, 18 to 22 of 60 calls got 500. Port 70000 or -1, a host of 100,000 characters, with an empty label, a line break or a lone surrogate: 2 to 4 of 60 calls that were never sent got 502, again after a restart, with an uncaught OverflowError, UnicodeError or UnicodeEncodeError in CrashDetector._check. (One trial run an entry on, two gateways, two sound servers.)

Cause: decoding checked the type of a value, not that it can be used. Each use raises an error of its own class, and what calls it expects OSError.

Fix: `external_values` holds the checks for all decoders of external data; fields of attrs classes name them with `Check`, beside `Range`. A registration needs an identifier that a header carries unchanged, an address (an IP literal or host name, port 1 to 65535, of one machine and without a path or user), names without control characters and surrogates, and numbers in a range. Anything else is left out.

`registration_unreadable` has the key and names the first fields (it said "1 invalid field(s)"), once for each change of the reason; the gauge boragespring_gateway_unusable_registrations counts the entries that stand.

--- a/src/boragespring/composition/gateway.py
+++ b/src/boragespring/composition/gateway.py
@@ -195,6 +195,11 @@
         log=log,
     )
     _add_gauges(metrics, catalog_holder, fleet, store_sync.snapshot_age_s, peers)
+    metrics.add_gauge(
+        "unusable_registrations",
+        "Entries among the registrations that name no usable server.",
+        lambda: float(store_sync.unusable_registrations()),
+    )
     metrics.add_gauge(
         "rate_limited_servers",
         "Backend servers that take a limited rate of requests.",
--- a/src/boragespring/composition/gateway_store.py
+++ b/src/boragespring/composition/gateway_store.py
@@ -67,12 +67,15 @@
         be complete.
     is_store_lost : callable
         Returns whether the last call of this gateway to the store failed.
+    unusable_registrations : callable
+        Returns the number of registrations that cannot be used.
     """
 
     loops: tuple[Callable[[], Coroutine[None, None, None]], ...]
     close_hooks: tuple[Callable[[], Awaitable[None]], ...]
     snapshot_age_s: Callable[[], float]
     is_store_lost: Callable[[], bool]
+    unusable_registrations: Callable[[], int]
 
 
 def build_store_sync(
@@ -100,6 +103,7 @@
     archive = CrashArchive(
         store, quarantine, peers.is_responsible, CrashArchiveSettings(), log
     )
+    registrations = FleetFeed(fleet, log)
     fan_out = PrefixFanOut(
         {
             CATALOG_KEY: CatalogFeed(catalog_holder, log),
@@ -107,7 +111,7 @@
             DRAINED_ZONE_PREFIX: DrainFeed(
                 fleet, lambda: time.monotonic() - follower.complete_at_s
             ),
-            REGISTRATION_PREFIX: FleetFeed(fleet, log),
+            REGISTRATION_PREFIX: registrations,
             PRESENCE_PREFIX: presence,
             CRASHES_KEY: archive,
         }
@@ -126,6 +130,7 @@
         close_hooks=(presence.withdraw, peers.close, store.close),
         snapshot_age_s=lambda: time.monotonic() - follower.complete_at_s,
         is_store_lost=lambda: follower.is_store_lost,
+        unusable_registrations=lambda: registrations.unusable_count,
     )
 
 
--- a/src/boragespring/fleet/model.py
+++ b/src/boragespring/fleet/model.py
@@ -28,14 +28,15 @@
 
 @frozen
 class ServerAddress:
-    """IP address and TCP port of a backend server."""
+    """IP address or host name and TCP port of a backend server."""
 
     host: str
     port: int
 
     def __str__(self) -> str:
-        """Return the address as ``host:port``."""
-        return f"{self.host}:{self.port}"
+        """Return the address as ``host:port``, with an IPv6 address in brackets."""
+        host = f"[{self.host}]" if ":" in self.host else self.host
+        return f"{host}:{self.port}"
 
 
 @frozen
--- a/src/boragespring/fleet/state.py
+++ b/src/boragespring/fleet/state.py
@@ -152,7 +152,10 @@
         self._remove_if_idle(server)
 
     def replace_all(
-        self, registrations: Iterable[Registration], is_after_outage: bool
+        self,
+        registrations: Iterable[Registration],
+        is_after_outage: bool,
+        kept: Iterable[str] = (),
     ) -> None:
         """Apply all registrations that the store holds.
 
@@ -164,12 +167,15 @@
             Whether entries may be missing because they expired or were lost during
             an outage of the store. Their servers then have `lapse_grace_s` to
             register again.
+        kept : iterable of str
+            Identifiers of further servers that stay as they are.
         """
         found = {entry.server_id: entry for entry in registrations}
         for registration in found.values():
             self.register(registration)
+        listed = {*found, *kept}
         for server in list(self._servers.values()):
-            if server.server_id in found or not server.is_registered:
+            if server.server_id in listed or not server.is_registered:
                 continue
             # A snapshot that follows soon does not end the grace period.
             if is_after_outage or server.server_id in self._lapsed_at_s:
--- a/src/boragespring/platform/registration_codec.py
+++ b/src/boragespring/platform/registration_codec.py
@@ -1,11 +1,20 @@
 """Decode the registrations that backend servers write to the store."""
 
+from typing import Annotated
+
 from attrs import frozen
 
+from boragespring.external_values import (
+    INTEGER_MAX,
+    check_identifier,
+    check_name,
+    parse_address,
+)
 from boragespring.fleet import Registration, ServerAddress
 from boragespring.json_document import parse_json
 from boragespring.platform.names import REGISTRATION_PREFIX
-from boragespring.settings import SettingsError, structure
+from boragespring.settings import FieldErrorGroup, Range, SettingsError, structure
+from boragespring.settings.types import Check
 
 __all__ = ["RegistrationUnreadableError", "decode_registration", "server_id_of"]
 
@@ -16,19 +25,25 @@
     """A registration is malformed or lacks required fields."""
 
 
+_Name = Annotated[str, Check(check_name)]
+_Integer = Annotated[int, Range(0, INTEGER_MAX)]
+_SLOTS_MAX = 1_000_000
+_COLD_MAX_MS = 86_400_000.0
+
+
 @frozen
 class _WireRegistration:
-    service: str
+    service: _Name
     address: str
-    zone: str
+    zone: _Name
     state: str
-    slots: int
+    slots: Annotated[int, Range(0, _SLOTS_MAX)]
     # Time for which the server remains cold.
-    cold_remaining_ms: float = 0.0
+    cold_remaining_ms: Annotated[float, Range(-_COLD_MAX_MS, _COLD_MAX_MS)] = 0.0
     # Start time in milliseconds.
-    born: int = 0
+    born: _Integer = 0
     # Number of heartbeats since the start.
-    sequence: int = 0
+    sequence: _Integer = 0
 
 
 def server_id_of(key: str) -> str:
@@ -49,18 +64,22 @@
     Raises
     ------
     RegistrationUnreadableError
-        When fields are missing or invalid, or the state is unknown.
+        When fields are missing or cannot be used, or the state is unknown.
     """
     try:
+        server_id = check_identifier(server_id_of(key))
         document = parse_json(data)
-        wire = structure(document, _WireRegistration, key, ignore_unknown=True)
-        host, _, port = wire.address.rpartition(":")
-        address = ServerAddress(host, int(port))
+        wire = structure(document, _WireRegistration, "entry", ignore_unknown=True)
+        address = ServerAddress(*parse_address(wire.address))
         is_leaving = _IS_LEAVING_BY_STATE[wire.state]
-    except (ValueError, KeyError, SettingsError) as error:
-        raise RegistrationUnreadableError(f"{key}: {error}") from error
+    except FieldErrorGroup as errors:
+        raise RegistrationUnreadableError(errors.summary()) from errors
+    except KeyError:
+        raise RegistrationUnreadableError("state: not known here") from None
+    except ValueError as error:
+        raise RegistrationUnreadableError(str(error)) from error
     return Registration(
-        server_id=server_id_of(key),
+        server_id=server_id,
         service=wire.service,
         address=address,
         availability_zone=wire.zone,
--- a/src/boragespring/platform/store_feeds.py
+++ b/src/boragespring/platform/store_feeds.py
@@ -4,6 +4,7 @@
 
 from boragespring.catalog import CatalogHolder
 from boragespring.decisions import DecisionLog
+from boragespring.external_values import excerpt
 from boragespring.fleet import Fleet, Registration
 from boragespring.platform.catalog_codec import CatalogUnreadableError, decode_catalog
 from boragespring.platform.names import DRAINED_ZONE_PREFIX
@@ -17,6 +18,9 @@
 
 __all__ = ["CatalogFeed", "DrainFeed", "FleetFeed", "StoreContactLog"]
 
+#: Number of characters of a reason that are logged.
+REASON_MAX_CHARACTERS = 300
+
 
 class StoreContactLog:
     """Log when the store stops responding, responds again or lost changes.
@@ -84,20 +88,33 @@
 class FleetFeed:
     """Apply the registrations of backend servers to the fleet.
 
+    An entry that cannot be used comes from another writer. It says nothing of a server
+    that is known by an earlier entry under the same key: that one stays until the key
+    is removed.
+
     Parameters
     ----------
     fleet : Fleet
         Backend servers known to this gateway.
     log : DecisionLog
-        Log for registrations that cannot be decoded.
+        Log for registrations that cannot be used, one line each time that one changes.
     """
 
     def __init__(self, fleet: Fleet, log: DecisionLog) -> None:
         self._log = log
         self._fleet = fleet
+        #: Reasons for which entries cannot be used, by key.
+        self._unusable: dict[str, str] = {}
+
+    @property
+    def unusable_count(self) -> int:
+        """Number of registrations in the store that cannot be used."""
+        return len(self._unusable)
 
     def on_snapshot(self, items: Sequence[KeyValue], is_after_outage: bool) -> None:
         """Replace all registrations by those of a snapshot."""
+        for key in self._unusable.keys() - {item.key for item in items}:
+            del self._unusable[key]
         registrations = [self._decode(item) for item in items]
         self._fleet.replace_all(
             [
@@ -106,11 +123,13 @@
                 if registration is not None
             ],
             is_after_outage,
+            kept=[server_id_of(key) for key in self._unusable],
         )
 
     def on_change(self, event: WatchEvent) -> None:
         """Apply a new, changed or deleted registration."""
         if event.item is None:
+            self._unusable.pop(event.key, None)
             self._fleet.unregister(server_id_of(event.key), "entry removed")
             return
         registration = self._decode(event.item)
@@ -123,10 +142,21 @@
 
     def _decode(self, item: KeyValue) -> Registration | None:
         try:
-            return decode_registration(item.key, item.value)
+            registration = decode_registration(item.key, item.value)
         except RegistrationUnreadableError as error:
-            self._log.state_change("registration_unreadable", reason=str(error)[:300])
+            self._record_unusable(item.key, str(error)[:REASON_MAX_CHARACTERS])
             return None
+        self._unusable.pop(item.key, None)
+        return registration
+
+    def _record_unusable(self, key: str, reason: str) -> None:
+        if self._unusable.get(key) == reason:
+            # Each snapshot contains the entry again.
+            return
+        self._unusable[key] = reason
+        self._log.state_change(
+            "registration_unreadable", key=excerpt(key), reason=reason
+        )
 
 
 class DrainFeed:
--- a/src/boragespring/settings/errors.py
+++ b/src/boragespring/settings/errors.py
@@ -7,6 +7,10 @@
 __all__ = ["FieldError", "FieldErrorGroup", "SettingsError", "SettingsFileError"]
 
 
+#: Number of errors of one document that are shown in one line.
+SHOWN_ERRORS_MAX = 3
+
+
 class SettingsError(BoragespringError):
     """Base class of the errors in settings."""
 
@@ -41,6 +45,12 @@
 class FieldErrorGroup(ExceptionGroup[FieldError], SettingsError):
     """All the field errors of one document."""
 
+    def summary(self) -> str:
+        """Return the first errors in one line."""
+        shown = "; ".join(map(str, self.exceptions[:SHOWN_ERRORS_MAX]))
+        rest = len(self.exceptions) - SHOWN_ERRORS_MAX
+        return f"{shown}; {rest} more" if rest > 0 else shown
+
     def derive(self, excs: Sequence[FieldError]) -> "FieldErrorGroup":  # type: ignore[override]
         """Return a group of the same class that holds the given errors."""
         return FieldErrorGroup(self.message, excs)
--- a/src/boragespring/settings/loader.py
+++ b/src/boragespring/settings/loader.py
@@ -13,66 +13,41 @@
 )
 from cattrs.errors import AttributeValidationNote, IterableValidationNote
 
+from boragespring.external_values import UnusableValueError, excerpt
 from boragespring.settings.errors import (
     FieldError,
     FieldErrorGroup,
     SettingsFileError,
 )
-from boragespring.settings.types import Range
+from boragespring.settings.types import Check, Range
 
 __all__ = ["load_document", "load_settings", "parse_settings", "structure"]
 
 T = TypeVar("T")
 
-MAX_SHOWN_CHARACTERS = 80
-
-
-class _InvalidValueError(ValueError):
-    """A value is not allowed.
-
-    Parameters
-    ----------
-    found : object
-        The value, of which a shortened ``repr`` is kept.
-    allowed : str
-        Description of the allowed values.
-    """
-
-    def __init__(self, found: object, allowed: str) -> None:
-        self.found = _describe(found)
-        self.allowed = allowed
-        super().__init__(allowed)
-
-
-def _describe(value: object) -> str:
-    text = repr(value)
-    if len(text) <= MAX_SHOWN_CHARACTERS:
-        return text
-    return text[:MAX_SHOWN_CHARACTERS] + "..."
-
 
 def _structure_int(value: object, _: type) -> int:
     if isinstance(value, int) and not isinstance(value, bool):
         return value
-    raise _InvalidValueError(value, "an integer")
+    raise UnusableValueError(value, "an integer")
 
 
 def _structure_float(value: object, _: type) -> float:
     if isinstance(value, (int, float)) and not isinstance(value, bool):
         return float(value)
-    raise _InvalidValueError(value, "a number")
+    raise UnusableValueError(value, "a number")
 
 
 def _structure_str(value: object, _: type) -> str:
     if isinstance(value, str):
         return value
-    raise _InvalidValueError(value, "a string")
+    raise UnusableValueError(value, "a string")
 
 
 def _structure_bool(value: object, _: type) -> bool:
     if isinstance(value, bool):
         return value
-    raise _InvalidValueError(value, "true or false")
+    raise UnusableValueError(value, "true or false")
 
 
 def _structure_literal(value: object, literal: Any) -> object:
@@ -80,7 +55,7 @@
     if value in choices:
         return value
     names = ", ".join(map(str, choices))
-    raise _InvalidValueError(value, f"one of {names}")
+    raise UnusableValueError(value, f"one of {names}")
 
 
 def _is_annotated(type_hint: object) -> bool:
@@ -105,6 +80,8 @@
         for constraint in metadata:
             if isinstance(constraint, Range):
                 _check_range(result, constraint)
+            if isinstance(constraint, Check):
+                result = constraint.apply(result)
         return result
 
     converter.register_structure_hook_func(_is_annotated, structure_annotated)
@@ -114,10 +91,10 @@
 def _check_range(value: Any, allowed: Range) -> None:
     if isinstance(value, str):
         if not allowed.low <= len(value) <= allowed.high:
-            raise _InvalidValueError(value, f"{allowed.describe()} characters")
+            raise UnusableValueError(value, f"{allowed.describe()} characters")
         return
     if not allowed.low <= value <= allowed.high:
-        raise _InvalidValueError(value, allowed.describe())
+        raise UnusableValueError(value, allowed.describe())
 
 
 _STRICT = _build_converter(forbid_unknown=True)
@@ -152,11 +129,11 @@
     if isinstance(error, KeyError):
         yield FieldError(source, field_path, "nothing", "a value (required field)")
         return
-    if isinstance(error, _InvalidValueError):
+    if isinstance(error, UnusableValueError):
         yield FieldError(source, field_path, error.found, error.allowed)
         return
     yield FieldError(
-        source, field_path, _describe(found), str(error) or "a value of another type"
+        source, field_path, excerpt(found), str(error) or "a value of another type"
     )
 
 
@@ -198,7 +175,7 @@
     """
     try:
         if not isinstance(data, Mapping):
-            raise _InvalidValueError(data, "an object")
+            raise UnusableValueError(data, "an object")
         converter = _LENIENT if ignore_unknown else _STRICT
         return converter.structure(data, cls)
     except (BaseValidationError, IterableValidationError, ValueError) as error:
--- a/src/boragespring/settings/types.py
+++ b/src/boragespring/settings/types.py
@@ -1,11 +1,13 @@
 """Types of settings fields, annotated with their allowed ranges."""
 
-from typing import Annotated, Literal
+from collections.abc import Callable
+from typing import Annotated, Any, Literal
 
 from attrs import frozen
 
 __all__ = [
     "Bytes",
+    "Check",
     "Count",
     "Fraction",
     "Name",
@@ -31,6 +33,19 @@
         return f"{self.low:g} to {self.high:g}"
 
 
+@frozen
+class Check:
+    """Check of a value that another program wrote.
+
+    Parameters
+    ----------
+    apply : callable
+        Returns the value; raises `UnusableValueError` if it cannot be used.
+    """
+
+    apply: Callable[[Any], Any]
+
+
 Port = Annotated[int, Range(0, 65535)]
 Seconds = Annotated[float, Range(0.001, 7 * 86400)]
 PerSecond = Annotated[float, Range(0.001, 10_000_000.0)]
