Fix: a call that could not be sent for an odd address counts as not run

What callers saw: 502 for a call that must not be repeated, though nothing had been sent, when opening the connection failed with another error than one of the network (port out of range, host that cannot be encoded), and 500 when no URL could be built.

Cause: only aiohttp's errors of a connection counted as "not sent". ValueError, OverflowError and UnicodeError of the URL, the name look-up and `connect` counted as a lost reply or passed through. The check for a crash that followed expected OSError alone, and its error was never retrieved. A name look-up had no timeout of its own.

Fix: the connector of `create_connector` turns every error before a connection is open into `NotConnectedError`, which is no lost reply; the URL is built, with its port, before anything is sent; the connection timeout includes the look-up. A check for a crash that fails is logged (`crash_check_failed`) and finds no crash.

--- a/src/boragespring/forwarding/crash_detection.py
+++ b/src/boragespring/forwarding/crash_detection.py
@@ -31,6 +31,8 @@
 
 #: Size of a body from which on a request is identified in another thread.
 LARGE_BODY_BYTES = 65_536
+#: Number of characters of an error that are logged.
+REASON_MAX_CHARACTERS = 300
 
 
 def _do_nothing() -> None:
@@ -252,6 +254,14 @@
                 await _identify(run.job.identity)
             self._report(server, process, listed)
             return True
+        except Exception as error:
+            # Nobody may be waiting for the result.
+            self._log.state_change(
+                "crash_check_failed",
+                server=server.server_id,
+                reason=repr(error)[:REASON_MAX_CHARACTERS],
+            )
+            return False
         finally:
             runs.check = None
             runs.broken.clear()
--- a/src/boragespring/http/bounded_reply.py
+++ b/src/boragespring/http/bounded_reply.py
@@ -5,10 +5,16 @@
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.connector import Connection
 from aiohttp.http import HttpProcessingError, RawResponseMessage
 from aiohttp.streams import StreamReader
 
-__all__ = ["BodyTooLargeError", "create_connector", "read_body"]
+__all__ = [
+    "BodyTooLargeError",
+    "NotConnectedError",
+    "create_connector",
+    "read_body",
+]
 
 #: Maximum number of informational heads (status 1xx) before the final one.
 INFORMATIONAL_HEADS_MAX = 8
@@ -23,6 +29,10 @@
     """The body of a reply is larger than allowed; its rest was not read."""
 
 
+class NotConnectedError(aiohttp.ClientConnectionError):
+    """No connection could be opened, for another reason than one of the network."""
+
+
 async def read_body(response: aiohttp.ClientResponse, max_bytes: int) -> bytes:
     """Return the body of a reply, and close the connection if it is too large.
 
@@ -96,15 +106,31 @@
         self.set_exception(HttpProcessingError(code=502, message=reason))
 
 
+class _Connector(aiohttp.TCPConnector):
+    """Connector that raises errors of a connection only, whatever the address is."""
+
+    async def connect(self, *args: Any, **kwargs: Any) -> Connection:
+        """Open a connection, or take one that is idle."""
+        try:
+            return await super().connect(*args, **kwargs)
+        except (aiohttp.ClientConnectorError, TimeoutError):
+            raise
+        except Exception as error:
+            raise NotConnectedError(f"{type(error).__name__} {error}") from error
+
+
 def create_connector(**options: Any) -> aiohttp.TCPConnector:
     """Return a connector whose connections bound the heads of replies.
 
+    All that goes wrong before a connection is open raises
+    `aiohttp.ClientConnectorError`, `NotConnectedError` or TimeoutError.
+
     Parameters
     ----------
     **options
         Parameters of `aiohttp.TCPConnector`.
     """
-    connector = aiohttp.TCPConnector(**options)
+    connector = _Connector(**options)
     # aiohttp has no public way to choose the protocol of its connections.
     factory: Any = functools.partial(_BoundedResponseHandler, loop=connector._loop)
     connector._factory = factory
--- a/src/boragespring/platform/server_calls.py
+++ b/src/boragespring/platform/server_calls.py
@@ -6,6 +6,7 @@
 from typing import Any, Protocol
 
 import aiohttp
+from absl import logging
 from aiohttp import hdrs
 from attrs import frozen
 from multidict import CIMultiDict
@@ -26,7 +27,11 @@
     ServerStatement,
     ServerUnreachableError,
 )
-from boragespring.http.bounded_reply import create_connector, read_body
+from boragespring.http.bounded_reply import (
+    NotConnectedError,
+    create_connector,
+    read_body,
+)
 from boragespring.http.reply_end import ReplyEnd, ReplyFraming
 from boragespring.http.single_send import create_single_send_session
 from boragespring.json_document import parse_json
@@ -43,6 +48,15 @@
 HEADER_LINE_MAX_BYTES = 32 * 1024
 #: Maximum size of a load report or of the reply to a copy.
 BODY_MAX_BYTES = 2**20
+#: Number of characters of an error that are kept. It may quote an address.
+REASON_MAX_CHARACTERS = 300
+
+#: Errors that are raised before a connection is open, so that nothing has been sent.
+_NOT_CONNECTED = (
+    aiohttp.ClientConnectorError,
+    aiohttp.ConnectionTimeoutError,
+    NotConnectedError,
+)
 
 
 class PermitTaker(Protocol):
@@ -132,20 +146,20 @@
         # A run that was stopped for a move cannot wait.
         self._take_permit(server, is_forced=attempt.resume is not None, starts_run=True)
         sent_at_s = time.monotonic()
-        url = URL(f"http://{server.address}{request.target}", encoded=True)
         try:
             response = await self._get_session().request(
                 request.method,
-                url,
+                _url(server, request.target),
                 headers=_request_headers(server, attempt),
                 data=request.body or None,
                 allow_redirects=False,
+                # This includes the look-up of a host name.
                 timeout=aiohttp.ClientTimeout(
-                    total=None, sock_connect=self._settings.connect_timeout_s
+                    total=None, connect=self._settings.connect_timeout_s
                 ),
             )
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
-            raise _unreachable(error) from error
+        except _NOT_CONNECTED as error:
+            raise ServerUnreachableError(_describe(error)) from error
         except (aiohttp.ClientError, OSError, ValueError) as error:
             raise ReplyLostError(_describe(error)) from error
         self._pass_on_statement(server, response, sent_at_s)
@@ -178,6 +192,13 @@
         except OSError:
             # This includes a timeout.
             return Reachability.SILENT
+        except (ValueError, OverflowError) as error:
+            logging.warning(
+                "event=address_unusable server=%s reason=%s",
+                server.server_id,
+                _describe(error),
+            )
+            return Reachability.SILENT
         writer.close()
         return Reachability.ACCEPTING
 
@@ -233,18 +254,17 @@
     ) -> tuple[int, bytes]:
         timeout = aiohttp.ClientTimeout(
             total=timeout_s or self._settings.copy_timeout_s,
-            sock_connect=self._settings.connect_timeout_s,
+            connect=self._settings.connect_timeout_s,
         )
-        url = f"http://{server.address}{path}"
         sent_at_s = time.monotonic()
         try:
             async with self._get_session().request(
-                method, url, json=body, timeout=timeout
+                method, _url(server, path), json=body, timeout=timeout
             ) as response:
                 self._pass_on_statement(server, response, sent_at_s)
                 return response.status, await read_body(response, BODY_MAX_BYTES)
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
-            raise _unreachable(error) from error
+        except _NOT_CONNECTED as error:
+            raise ServerUnreachableError(_describe(error)) from error
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
             raise ReplyLostError(_describe(error)) from error
 
@@ -292,6 +312,18 @@
         return self._session
 
 
+def _url(server: BackendServer, target: str) -> URL:
+    """Return the URL of a target that is encoded."""
+    try:
+        url = URL(f"http://{server.address}{target}", encoded=True)
+        # The port is checked when it is read.
+        if url.host and url.port:
+            return url
+    except ValueError as error:
+        raise ServerUnreachableError(_describe(error)) from error
+    raise ServerUnreachableError(f"{server.server_id} has an unusable address")
+
+
 def _request_headers(server: BackendServer, attempt: Attempt) -> CIMultiDict[str]:
     headers = CIMultiDict(attempt.request.headers)
     remaining_ms = int((attempt.deadline_s - time.monotonic()) * 1000)
@@ -333,11 +365,5 @@
     return body if isinstance(body, dict) else {}
 
 
-def _unreachable(
-    error: aiohttp.ClientConnectorError | aiohttp.ConnectionTimeoutError,
-) -> ServerUnreachableError:
-    return ServerUnreachableError(_describe(error))
-
-
 def _describe(error: BaseException) -> str:
-    return f"{type(error).__name__} {error}".strip()
+    return f"{type(error).__name__} {error}"[:REASON_MAX_CHARACTERS].strip()
--- a/src/boragespring/platform/store_client.py
+++ b/src/boragespring/platform/store_client.py
@@ -9,7 +9,11 @@
 import aiohttp
 from attrs import frozen
 
-from boragespring.http.bounded_reply import create_connector, read_body
+from boragespring.http.bounded_reply import (
+    NotConnectedError,
+    create_connector,
+    read_body,
+)
 from boragespring.json_document import parse_json
 from boragespring.platform import names
 from boragespring.platform.sockets import create_socket
@@ -230,7 +234,7 @@
     async def _mutate(self, method: str, path: str, request: object) -> "_StoreReply":
         try:
             reply = await self._call(method, path, {}, request, None)
-        except aiohttp.ClientConnectorError as error:
+        except (aiohttp.ClientConnectorError, NotConnectedError) as error:
             raise StoreUnavailableError(f"{path}: {_describe(error)}") from error
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
             raise WriteOutcomeUnknownError(f"{path}: {_describe(error)}") from error
