Fix: a load report with an odd number no longer ends the probes of all servers

What happens, by reading: while the store is away, one model server whose report has 1e400, NaN, a text or a list for a number raises OverflowError, TypeError or ValueError in the round of probes of all servers. The loop ends and starts again a second later, into the same error: leaving servers are not found out in time. At a leaving server it ends the task that asks for the time left.

Cause: `fetch_report` promises ForwardingError, and converted numbers unchecked.

Fix: `report_codec` checks each number with `external_values`; an unusable report counts as a lost reply, as one that is no JSON.

--- a/src/boragespring/platform/server_calls.py
+++ b/src/boragespring/platform/server_calls.py
@@ -36,6 +36,7 @@
 from boragespring.http.single_send import create_single_send_session
 from boragespring.json_document import parse_json
 from boragespring.platform import names
+from boragespring.platform.report_codec import decode_report
 from boragespring.platform.sockets import create_socket
 from boragespring.platform.statement_codec import decode_statement
 
@@ -213,17 +214,10 @@
         )
         if status != _OK:
             raise ReplyLostError(f"load report failed with status {status}")
-        leaves_ms = body.get("leaves_ms")
-        return ServerReport(
-            running=int(body.get("running") or 0),
-            waiting=int(body.get("waiting") or 0),
-            # Does not include cached prompts, since they can be evicted.
-            memory_used_tokens=int(body.get("kv_cache_used") or 0),
-            memory_total_tokens=int(body.get("kv_cache_total") or 0),
-            reported_at_s=time.monotonic(),
-            is_leaving=body.get("state") == "draining" or leaves_ms is not None,
-            leaves_in_s=None if leaves_ms is None else float(leaves_ms) / 1000,
-        )
+        try:
+            return decode_report(body, time.monotonic())
+        except ValueError as error:
+            raise ReplyLostError(f"load report: {error}") from error
 
     async def close(self) -> None:
         """Close all connections."""
