Fix: a copy whose identifier no header can carry is not used

What happens, by reading: a server answers a move with a `handle` that has a line break, cannot be encoded, is an object or has 5,000 characters. The run was taken to have that copy, and a request that resumes it has the identifier in a header.

Fix: the identifier is checked where the reply is read. Without a usable one, a 200 counts as a lost reply, and a refusal names no copy.

--- a/src/boragespring/platform/server_calls.py
+++ b/src/boragespring/platform/server_calls.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Mapping
 from typing import Any, Protocol
 
 import aiohttp
@@ -12,6 +12,7 @@
 from multidict import CIMultiDict
 from yarl import URL
 
+from boragespring.external_values import check_identifier
 from boragespring.fleet import BackendServer, ServerAddress
 from boragespring.fleet.model import ServerReport
 from boragespring.forwarding import (
@@ -175,9 +176,11 @@
             body["last"] = True
         self._take_permit(server)
         status, reply = await self._call(server, "POST", "/kv-move", body)
-        copy_id = str(reply.get("handle") or "")
-        if status == _OK:
+        copy_id = _parse_copy_id(reply)
+        if status == _OK and copy_id:
             return RunCopy(copy_id)
+        if status == _OK:
+            raise ReplyLostError("the reply names no usable copy")
         if status == _NOT_FOUND:
             raise RunNotFoundError(f"no run {run_id} at {server.server_id}")
         raise CopyRefusedError(f"status {status}", copy_id)
@@ -354,6 +357,14 @@
     )
 
 
+def _parse_copy_id(reply: Mapping[str, Any]) -> str:
+    """Return the identifier of a copy; an empty one if it cannot be used."""
+    try:
+        return check_identifier(str(reply.get("handle") or ""))
+    except ValueError:
+        return ""
+
+
 def _parse_object(data: bytes) -> dict[str, Any]:
     body = parse_json(data) if data else {}
     return body if isinstance(body, dict) else {}
--- a/src/boragespring/platform/tests/test_odd_replies.py
+++ b/src/boragespring/platform/tests/test_odd_replies.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import contextlib
+import json
 
 import pytest
 
-from boragespring.forwarding import ReplyLostError
+from boragespring.fleet import ServerAddress
+from boragespring.forwarding import CopyRefusedError, ReplyLostError
 from boragespring.platform.server_calls import HttpServerCalls, ServerCallSettings
 from boragespring.platform.tests.test_unusable_addresses import make_server
 
@@ -50,3 +52,17 @@
     async with replying_server(200, body) as (calls, server):
         with pytest.raises(ReplyLostError):
             await calls.fetch_report(server)
+
+
+# Guards against a copy that no header can name.
+@pytest.mark.parametrize("handle", ["", "a\r\nX-More: 1", "\ud800", "h" * 5000, {}])
+@pytest.mark.parametrize(
+    ("status", "error"), [(200, ReplyLostError), (503, CopyRefusedError)]
+)
+async def test_copy_needs_a_usable_identifier(status, error, handle):
+    body = json.dumps({"handle": handle}).encode()
+    async with replying_server(status, body) as (calls, server):
+        target = ServerAddress("127.0.0.1", 9)
+        with pytest.raises(error) as raised:
+            await calls.copy_run(server, "r1", target, True)
+    assert not getattr(raised.value, "copy_id", "")
