Fix: a cold time that a server states is bounded

What happens: a reply states a cold time of 1e300 ms. The server counted as cold for good, with costs of 1e297 s, and got requests only at the rate of a cold server.

Evidence: test_statement_of_an_odd_cold_time_is_unreadable on: 1 of 6 failed; now 6 passed.

--- a/src/boragespring/platform/registration_codec.py
+++ b/src/boragespring/platform/registration_codec.py
@@ -13,6 +13,7 @@
 from boragespring.fleet import Registration, ServerAddress
 from boragespring.json_document import parse_json
 from boragespring.platform.names import REGISTRATION_PREFIX
+from boragespring.platform.statement_codec import COLD_MAX_MS
 from boragespring.settings import FieldErrorGroup, Range, SettingsError, structure
 from boragespring.settings.types import Check
 
@@ -28,7 +29,6 @@
 _Name = Annotated[str, Check(check_name)]
 _Integer = Annotated[int, Range(0, INTEGER_MAX)]
 _SLOTS_MAX = 1_000_000
-_COLD_MAX_MS = 86_400_000.0
 
 
 @frozen
@@ -39,7 +39,7 @@
     state: str
     slots: Annotated[int, Range(0, _SLOTS_MAX)]
     # Time for which the server remains cold.
-    cold_remaining_ms: Annotated[float, Range(-_COLD_MAX_MS, _COLD_MAX_MS)] = 0.0
+    cold_remaining_ms: Annotated[float, Range(-COLD_MAX_MS, COLD_MAX_MS)] = 0.0
     # Start time in milliseconds.
     born: _Integer = 0
     # Number of heartbeats since the start.
--- a/src/boragespring/platform/statement_codec.py
+++ b/src/boragespring/platform/statement_codec.py
@@ -1,10 +1,10 @@
 """Decode what backend servers state about themselves in the heads of their replies."""
 
-import math
 import time
 
 import aiohttp
 
+from boragespring.external_values import INTEGER_MAX, check_number
 from boragespring.fleet.loads import StatedLoad
 from boragespring.forwarding import ServerStatement
 from boragespring.platform import names
@@ -20,6 +20,8 @@
 #: Numbers of requests, and slowdowns in percent, beyond which a load is not plausible.
 REQUESTS_MAX = 100_000
 SLOWDOWN_MAX_PERCENT = 10_000
+#: Time in milliseconds beyond which a cold time is not plausible.
+COLD_MAX_MS = 86_400_000.0
 
 
 def decode_statement(
@@ -36,7 +38,7 @@
     load_text = headers.get(names.SERVER_LOAD, "").strip()
     load = _parse_load(load_text)
     cold_remaining = headers.get(names.COLD_REMAINING_MS, "").strip()
-    cold_remaining_ms = _parse_number(cold_remaining)
+    cold_remaining_ms = _parse_number(cold_remaining, COLD_MAX_MS)
     return ServerStatement(
         is_leaving=headers.get(names.SERVER_LEAVING, "").strip() == _IS_LEAVING,
         retry_after_s=retry_after_s,
@@ -73,10 +75,9 @@
     return text[:_LOGGED_VALUE_MAX_CHARACTERS] if value is None else ""
 
 
-def _parse_number(text: str) -> float | None:
-    """Return a number, or None for anything but a finite one from 0 on."""
+def _parse_number(text: str, high: float = INTEGER_MAX) -> float | None:
+    """Return a number, or None for anything but one from 0 to a maximum."""
     try:
-        number = float(text)
+        return check_number(float(text), high=high)
     except ValueError:
         return None
-    return number if math.isfinite(number) and number >= 0 else None
--- a/src/boragespring/platform/tests/test_odd_replies.py
+++ b/src/boragespring/platform/tests/test_odd_replies.py
@@ -3,12 +3,15 @@
 import asyncio
 import contextlib
 import json
+from types import SimpleNamespace
 
 import pytest
 
 from boragespring.fleet import ServerAddress
 from boragespring.forwarding import CopyRefusedError, ReplyLostError
+from boragespring.platform import names
 from boragespring.platform.server_calls import HttpServerCalls, ServerCallSettings
+from boragespring.platform.statement_codec import decode_statement
 from boragespring.platform.tests.test_unusable_addresses import make_server
 
 ODD_NUMBERS = [
@@ -66,3 +69,11 @@
         with pytest.raises(error) as raised:
             await calls.copy_run(server, "r1", target, True)
     assert not getattr(raised.value, "copy_id", "")
+
+
+@pytest.mark.parametrize("text", ["1e400", "nan", "-1", "1e300", "9" * 5000, "soon"])
+def test_statement_of_an_odd_cold_time_is_unreadable(text):
+    response = SimpleNamespace(headers={names.COLD_REMAINING_MS: text}, status=200)
+    statement = decode_statement(response, 0.0)
+    assert statement.cold_for_s == 0.0
+    assert statement.unreadable_cold_time == text[:40]
