Fix: a reply of the store with odd values counts as no reply

What happens: a reply of the store that is a JSON object, but lacks a field or has 1e400, NaN, a list or an object for a revision, a lease or its time, raised KeyError, TypeError, OverflowError or ValueError through the loops that follow the store and keep the lease. They end and start again after a second; the store does not count as lost, so that nothing is done about it (by reading).

Fix: what is read of a reply raises `StoreUnavailableError`, as a reply that is no JSON.

Evidence: test_odd_reply_of_the_store_counts_as_none on: 10 of 10 failed, each with one of these errors; now 10 passed.

--- a/src/boragespring/platform/store_client.py
+++ b/src/boragespring/platform/store_client.py
@@ -3,12 +3,14 @@
 import asyncio
 import base64
 import binascii
-from collections.abc import AsyncGenerator, Callable, Mapping, Sequence
+import contextlib
+from collections.abc import AsyncGenerator, Callable, Iterator, Mapping, Sequence
 from typing import Any, NamedTuple
 
 import aiohttp
 from attrs import frozen
 
+from boragespring.external_values import check_number
 from boragespring.http.bounded_reply import (
     NotConnectedError,
     create_connector,
@@ -42,6 +44,8 @@
 _GONE = 410
 _CONDITION_FAILED = 412
 _REFUSED_STATUSES = (429, 503)
+#: Number of characters of an error that are kept.
+REASON_MAX_CHARACTERS = 300
 
 
 @frozen
@@ -99,9 +103,9 @@
     async def get(self, key: str) -> GetResult:
         """Read one key."""
         status, body, _ = await self._read("/kv-key", {"key": key})
-        if status == _NOT_FOUND:
-            return GetResult(None, _parse_revision(body, 0))
-        return GetResult(_parse_item(body), _parse_revision(body, 0))
+        with _reading("/kv-key"):
+            item = None if status == _NOT_FOUND else _parse_item(body)
+            return GetResult(item, _parse_revision(body, 0))
 
     async def range(self, prefix: str, limit: int = 0) -> RangeResult:
         """Read the keys under a prefix, page by page."""
@@ -121,8 +125,9 @@
             era = page_era
             # The pages are not read at one revision. A watch that starts at the
             # revision of the first page misses no change.
-            first_page_revision = first_page_revision or _parse_revision(body, 0)
-            page = [_parse_item(entry) for entry in _parse_objects(body, "items")]
+            with _reading("/kv-range"):
+                first_page_revision = first_page_revision or _parse_revision(body, 0)
+                page = list(map(_parse_item, _parse_objects(body, "items")))
             items += page
             if limit and len(items) >= limit:
                 return RangeResult(tuple(items[:limit]), first_page_revision, era)
@@ -155,9 +160,8 @@
                 f"lease {write.lease_id} of key {write.key} does not exist"
             )
         if status == _CONDITION_FAILED:
-            current_items = [
-                _parse_item(entry) for entry in _parse_objects(body, "items")
-            ]
+            with _reading("/kv-txn"):
+                current_items = list(map(_parse_item, _parse_objects(body, "items")))
             current_item = next(
                 (item for item in current_items if item.key == write.key), None
             )
@@ -178,14 +182,16 @@
         """Grant a lease."""
         request = {"ttl_ms": round(ttl_s * 1000)}
         _, body, era = await self._mutate("POST", "/kv-lease", request)
-        return Lease(int(body["lease"]), float(body["ttl_ms"]) / 1000, era)
+        with _reading("/kv-lease"):
+            return Lease(int(body["lease"]), _parse_ttl_s(body), era)
 
     async def renew_lease(self, lease_id: int) -> Lease:
         """Renew a lease; raise `LeaseExpiredError` if it no longer exists."""
         status, body, era = await self._mutate("POST", f"/kv-keep/{lease_id}", None)
         if status == _NOT_FOUND:
             raise LeaseExpiredError(f"lease {lease_id} does not exist")
-        return Lease(lease_id, float(body["ttl_ms"]) / 1000, era)
+        with _reading("/kv-keep"):
+            return Lease(lease_id, _parse_ttl_s(body), era)
 
     async def revoke_lease(self, lease_id: int) -> None:
         """Revoke a lease, which deletes the keys attached to it."""
@@ -208,10 +214,9 @@
             status, body, era = await self._read("/kv-watch", query, timeout_s)
             if status == _GONE:
                 raise WatchCompactedError(f"no history after revision {after_revision}")
-            after_revision = _parse_revision(body, after_revision)
-            events = tuple(
-                _parse_event(entry) for entry in _parse_objects(body, "events")
-            )
+            with _reading("/kv-watch"):
+                after_revision = _parse_revision(body, after_revision)
+                events = tuple(map(_parse_event, _parse_objects(body, "events")))
             had_changes = bool(events)
             yield WatchBatch(after_revision, events, era)
 
@@ -289,12 +294,26 @@
     return body
 
 
+@contextlib.contextmanager
+def _reading(path: str) -> Iterator[None]:
+    """Raise `StoreUnavailableError` if a part of a reply cannot be read."""
+    try:
+        yield
+    except (LookupError, TypeError, ValueError, OverflowError) as error:
+        reason = f"{path}: unreadable reply: {error!r}"
+        raise StoreUnavailableError(reason[:REASON_MAX_CHARACTERS]) from error
+
+
 def _parse_objects(body: Mapping[str, Any], name: str) -> list[Mapping[str, Any]]:
     """Return the list of objects in a field; an absent field is an empty list."""
     objects = body.get(name)
     return objects if isinstance(objects, list) else []
 
 
+def _parse_ttl_s(body: Mapping[str, Any]) -> float:
+    return check_number(body["ttl_ms"], low=1.0) / 1000
+
+
 def _parse_era(text: str | None) -> int:
     """Return the era of a reply; 0 for a store that has no eras."""
     if text is None:
--- /dev/null
+++ b/src/boragespring/platform/tests/test_odd_store_replies.py
@@ -0,0 +1,48 @@
+"""Replies of the store whose values cannot be used."""
+
+import pytest
+
+from boragespring.platform.store_client import PlatformStore, PlatformStoreSettings
+from boragespring.platform.tests.test_odd_replies import replying_server
+from boragespring.store import StoreUnavailableError
+
+ITEM = '"key": "servers/i-1", "value": "", "revision"'
+
+
+async def read_items(store):
+    return await store.range("servers/")
+
+
+async def read_changes(store):
+    async for batch in store.watch("servers/", 1):
+        return batch
+
+
+async def grant(store):
+    return await store.grant_lease(1.0)
+
+
+# Guards against a reply that ends the loop which follows the store.
+@pytest.mark.parametrize(
+    ("read", "body"),
+    [
+        (read_items, '{"items": [{' + ITEM + ": 1e400}]}"),
+        (read_items, '{"items": [{' + ITEM + ": []}]}"),
+        (read_items, '{"items": [{"key": "servers/i-1"}]}'),
+        (read_items, '{"items": [7]}'),
+        (read_items, '{"items": [], "current_rev": NaN}'),
+        (read_changes, '{"events": [{"key": "k"}]}'),
+        (read_changes, '{"current_rev": {}}'),
+        (grant, "{}"),
+        (grant, '{"lease": 1, "ttl_ms": "long"}'),
+        (grant, '{"lease": 1, "ttl_ms": NaN}'),
+    ],
+)
+async def test_odd_reply_of_the_store_counts_as_none(read, body):
+    async with replying_server(200, body.encode()) as (_, server):
+        store = PlatformStore(PlatformStoreSettings(f"http://{server.address}"))
+        try:
+            with pytest.raises(StoreUnavailableError):
+                await read(store)
+        finally:
+            await store.close()
