Fix: a key that cannot be encoded no longer ends the watch of the store

What happens: an entry of another writer under a key with a lone surrogate. The message that passes changes on to other gateways cannot carry it: `PrefixFollower.run` ended with UnicodeEncodeError (`loop_failed`, on two gateways of two) and began again a second later.

Fix: the store client leaves out entries whose key is no text that can be written, with one line (`store_key_unusable`); the other entries of the page hold. A page that has no usable key at all, and is not the last one, counts as no reply rather than as the end of the list.

Evidence: on test_entries_beside_an_odd_key_are_read and all four cases of test_entry_with_an_odd_key_is_left_out failed, that with the surrogate with `loop_failed`; now all pass.

--- a/src/boragespring/platform/store_client.py
+++ b/src/boragespring/platform/store_client.py
@@ -8,9 +8,10 @@
 from typing import Any, NamedTuple
 
 import aiohttp
+from absl import logging
 from attrs import frozen
 
-from boragespring.external_values import check_number
+from boragespring.external_values import UnusableValueError, check_number, check_text
 from boragespring.http.bounded_reply import (
     NotConnectedError,
     create_connector,
@@ -131,8 +132,10 @@
             items += page
             if limit and len(items) >= limit:
                 return RangeResult(tuple(items[:limit]), first_page_revision, era)
-            if not body.get("has_more") or not page:
+            if not body.get("has_more"):
                 return RangeResult(tuple(items), first_page_revision, era)
+            if not page:
+                raise StoreUnavailableError("/kv-range: a page without a usable key")
             after = page[-1].key
 
     async def write(self, write: ConditionalWrite) -> WriteResult:
@@ -305,9 +308,19 @@
 
 
 def _parse_objects(body: Mapping[str, Any], name: str) -> list[Mapping[str, Any]]:
-    """Return the list of objects in a field; an absent field is an empty list."""
+    """Return the objects in a field that have a usable key; absent ones are none."""
     objects = body.get(name)
-    return objects if isinstance(objects, list) else []
+    return list(filter(_has_usable_key, objects)) if isinstance(objects, list) else []
+
+
+def _has_usable_key(entry: Mapping[str, Any]) -> bool:
+    """Return whether a key can be sent; one of another writer may not be a text."""
+    try:
+        check_text(entry["key"])
+    except UnusableValueError as error:
+        logging.warning("event=store_key_unusable reason=%s", error)
+        return False
+    return True
 
 
 def _parse_ttl_s(body: Mapping[str, Any]) -> float:
--- a/src/boragespring/platform/tests/test_odd_registrations.py
+++ b/src/boragespring/platform/tests/test_odd_registrations.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import logging
+from functools import partial
 
 import pytest
 
@@ -130,6 +131,20 @@
     assert len(log_records(process, "registration_unreadable")) == 1
 
 
+# Guards against a key that ends the watch, or that no message between gateways carries.
+@pytest.mark.parametrize("key", ODD_KEYS, ids=lambda key: ascii(key)[:20])
+async def test_entry_with_an_odd_key_is_left_out(session, uncaught, key):
+    async with deployment(services=1, gateways=2) as platform:
+        platform.store.put(key, entry())
+        await platform.add_service("desk-1")
+        for process in platform.gateways:
+            await wait_until(partial(has_discovered_servers, process, platform))
+        started = await start_gateway(platform, "gateway-2")
+        assert await statuses_of(session, started, 6, "after") == {200}
+        assert len(log_records(started, "server_joined")) == 2
+    assert not uncaught()
+
+
 @pytest.mark.parametrize("key", ODD_KEYS, ids=lambda key: ascii(key)[:20])
 def test_server_needs_a_usable_identifier(key):
     with pytest.raises(RegistrationUnreadableError):
--- a/src/boragespring/platform/tests/test_odd_store_replies.py
+++ b/src/boragespring/platform/tests/test_odd_store_replies.py
@@ -30,6 +30,7 @@
         (read_items, '{"items": [{' + ITEM + ": []}]}"),
         (read_items, '{"items": [{"key": "servers/i-1"}]}'),
         (read_items, '{"items": [7]}'),
+        (read_items, '{"items": [{"key": "\\ud800"}], "has_more": true}'),
         (read_items, '{"items": [], "current_rev": NaN}'),
         (read_changes, '{"events": [{"key": "k"}]}'),
         (read_changes, '{"current_rev": {}}'),
@@ -46,3 +47,12 @@
                 await read(store)
         finally:
             await store.close()
+
+
+async def test_entries_beside_an_odd_key_are_read():
+    body = '{"items": [{"key": "a\\ud800", "revision": 1}, {' + ITEM + ": 2}]}"
+    async with replying_server(200, body.encode()) as (_, server):
+        store = PlatformStore(PlatformStoreSettings(f"http://{server.address}"))
+        found = await store.range("")
+        await store.close()
+    assert [item.key for item in found.items] == ["servers/i-1"]
