Check that its server outlives an unframed reply, of calls as of streams

Callers of a plain service got 200 with the server's signature and 440 of 800 bytes, as a complete reply, if the server crashed while it sent a reply with neither a length nor chunks.

Cause: such a reply ends with its connection, and the kernel closes the connections of a process that crashes in order as well. BufferedForwarder took each orderly close for the end; only streams asked whether the server still accepts connections, and believed a new process that was started under its address at once.

UnframedEndCheck now decides for both. A second connection that carries nothing is open while the body arrives and ends with the process; after the end a connection is tried, twice if the first is silent, and the store's entries are looked at. No request is sent for it, so that servers that rest or limit their rate are left alone. An idempotent call whose reply was cut goes to the next server within its attempts, any other gets 502. A reply to HEAD has no body and is not checked.

Replies with a length or chunks cost nothing.

--- a/src/boragespring/forwarding/buffered.py
+++ b/src/boragespring/forwarding/buffered.py
@@ -29,6 +29,7 @@
     ServiceCall,
     choose_server,
 )
+from boragespring.forwarding.unframed_end import UnframedEndCheck
 
 __all__ = ["BufferedForwarder", "BufferedReply", "BufferedSettings"]
 
@@ -302,10 +303,12 @@
         if head.is_success and not head.is_signed:
             return _ReplyLost("success without a signature")
         body = bytearray()
-        async for chunk in reply.chunks():
-            body += chunk
-            if len(body) > self._settings.body_max_bytes:
-                return _ReplyLost("reply too large to hold")
+        with UnframedEndCheck(self._context, server, head.framing) as end:
+            async for chunk in reply.chunks():
+                body += chunk
+                if len(body) > self._settings.body_max_bytes:
+                    return _ReplyLost("reply too large to hold")
+            await end.verify()
         return BufferedReply(head, bytes(body), server.server_id)
 
     def _attempt_deadline_s(self, job: Job, progress: _Progress, now_s: float) -> float:
--- a/src/boragespring/forwarding/crash_detection.py
+++ b/src/boragespring/forwarding/crash_detection.py
@@ -8,7 +8,6 @@
 import asyncio
 import time
 from collections.abc import Callable
-from typing import Protocol
 
 from attrs import define, field, frozen
 
@@ -16,9 +15,10 @@
 from boragespring.fleet import BackendServer, ServerProcess
 from boragespring.forwarding.jobs import Job
 from boragespring.forwarding.messages import Reachability
+from boragespring.forwarding.reachability import ReachabilityCheck, try_connections
 from boragespring.quarantine import Crash, RequestIdentity, Traits
 
-__all__ = ["CrashDetector", "CrashDetectorSettings", "ReachabilityCheck"]
+__all__ = ["CrashDetector", "CrashDetectorSettings"]
 
 #: Called with each crash that is detected.
 CrashHook = Callable[[Crash], None]
@@ -37,14 +37,6 @@
     """Do nothing; the default for a run that cannot be cancelled."""
 
 
-class ReachabilityCheck(Protocol):
-    """Client that checks whether a server still accepts connections."""
-
-    async def try_connection(self, server: BackendServer) -> Reachability:
-        """Return how the server's address responds to a new connection."""
-        ...
-
-
 @frozen
 class CrashDetectorSettings:
     """Limits for the attribution of crashes.
@@ -258,11 +250,8 @@
             self._drop_if_idle(process, runs)
 
     async def _is_refusing(self, server: BackendServer) -> bool:
-        for _ in range(self._settings.tries_max):
-            found = await self._calls.try_connection(server)
-            if found is not Reachability.SILENT:
-                return found is Reachability.REFUSING
-        return False
+        found = await try_connections(self._calls, server, self._settings.tries_max)
+        return found is Reachability.REFUSING
 
     def _report_sound(self, run: _OpenRun) -> None:
         began_at_s = min(run.began_at_s, self._clock())
--- a/src/boragespring/forwarding/messages.py
+++ b/src/boragespring/forwarding/messages.py
@@ -9,6 +9,7 @@
 
 from boragespring.fleet import BackendServer, ServerAddress
 from boragespring.fleet.model import ServerReport
+from boragespring.http.connection_watch import ConnectionWatch
 from boragespring.http.reply_end import ReplyFraming
 
 __all__ = [
@@ -301,6 +302,10 @@
         """Return how a server responds to a new connection; send no request."""
         ...
 
+    async def watch_connection(self, server: BackendServer) -> ConnectionWatch | None:
+        """Open a connection that shows the end of the server's process, if possible."""
+        ...
+
     async def fetch_report(self, server: BackendServer) -> ServerReport:
         """Fetch the load and state of a model server.
 
--- a/src/boragespring/forwarding/stream_relay.py
+++ b/src/boragespring/forwarding/stream_relay.py
@@ -23,6 +23,7 @@
 )
 from boragespring.forwarding.run_stop import stop_run
 from boragespring.forwarding.running_stream import Handover, RunningStream
+from boragespring.forwarding.unframed_end import UnframedEndCheck
 from boragespring.http.reply_end import ReplyFraming
 
 __all__ = ["StreamRelay"]
@@ -117,30 +118,27 @@
 
     async def _relay_reply(self, reply: ServerReply) -> str:
         """Relay one reply; return why it does not end the stream, else empty."""
+        framing = reply.head.framing
         try:
-            await self._relay_events(reply)
+            with UnframedEndCheck(self._context, self._stream.server, framing) as end:
+                await self._relay_events(reply)
+                if framing is ReplyFraming.CONNECTION:
+                    await self._check_not_stopped()
+                await end.verify()
         except ReplyBrokenError as error:
             return str(error)
-        if reply.head.framing is not ReplyFraming.CONNECTION:
-            return ""
-        return await self._check_unframed_end()
+        return ""
 
-    async def _check_unframed_end(self) -> str:
-        """Return why an orderly close does not end the stream, else empty.
+    async def _check_not_stopped(self) -> None:
+        """Raise `ReplyBrokenError` if the reply ended as its run is moved.
 
-        A server also closes the connection of a run that it stops for a move, and the
-        connections of a server that crashes are closed in order as well. A length or
-        chunks would show that the stream is not complete.
+        A server also closes the connection of a run that it stops for a move.
         """
         stream = self._stream
         if stream.is_stopping:
             await self._wait_handover()
         if stream.is_stopping:
-            return "the run was stopped for a move"
-        found = await self._context.calls.try_connection(stream.server)
-        if found is not Reachability.ACCEPTING:
-            return "the server closed the connection and is gone"
-        return ""
+            raise ReplyBrokenError("the run was stopped for a move")
 
     async def _relay_events(self, reply: ServerReply) -> None:
         stream = self._stream
--- a/src/boragespring/http/reply_end.py
+++ b/src/boragespring/http/reply_end.py
@@ -55,6 +55,7 @@
     headers = response.headers
     if hdrs.TRANSFER_ENCODING in headers:
         return ReplyFraming.CHUNKS
-    if hdrs.CONTENT_LENGTH in headers or response.status in _BODILESS_STATUSES:
+    is_bodiless = response.status in _BODILESS_STATUSES or response.method == "HEAD"
+    if hdrs.CONTENT_LENGTH in headers or is_bodiless:
         return ReplyFraming.LENGTH
     return ReplyFraming.CONNECTION
--- a/src/boragespring/platform/emulator/crash_point.py
+++ b/src/boragespring/platform/emulator/crash_point.py
@@ -22,11 +22,14 @@
         reply that is no stream.
     events : int
         Number of events of a stream that are sent before; not used by services.
+    is_unframed : bool
+        Whether a reply that is no stream has neither a length nor chunks.
     """
 
     delay_s: float = 0.1
     has_head: bool = False
     events: int = 0
+    is_unframed: bool = False
 
 
 @define(eq=False)
--- a/src/boragespring/platform/emulator/service.py
+++ b/src/boragespring/platform/emulator/service.py
@@ -233,7 +233,8 @@
     ) -> None:
         if point.has_head:
             signed = {names.SIGNATURE: SIGNATURE_VALUE}
-            writer.write(_encode_reply(200, request_id, self.body, signed)[:-4])
+            encode = _encode_unframed_reply if point.is_unframed else _encode_reply
+            writer.write(encode(200, request_id, self.body, signed)[:-4])
             await writer.drain()
         await asyncio.sleep(point.delay_s)
         if self.has_crashed:
@@ -299,13 +300,8 @@
     async def _write_unframed(
         self, fault: ServiceFault, request_id: str, writer: asyncio.StreamWriter
     ) -> None:
-        headers = {
-            names.SIGNATURE: SIGNATURE_VALUE,
-            names.REQUEST_ID: request_id,
-            **self._state_headers(),
-        }
-        head = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
-        writer.write(f"HTTP/1.1 200 OK\r\n{head}\r\n".encode() + self.body)
+        headers = {names.SIGNATURE: SIGNATURE_VALUE, **self._state_headers()}
+        writer.write(_encode_unframed_reply(200, request_id, self.body, headers))
         await writer.drain()
         await asyncio.sleep(0.02)
         if fault is ServiceFault.UNFRAMED_RESET:
@@ -322,11 +318,18 @@
 def _encode_reply(
     status: int, request_id: str, body: bytes, headers: dict[str, str]
 ) -> bytes:
+    framed = {**headers, "Content-Length": str(len(body))}
+    return _encode_unframed_reply(status, request_id, body, framed)
+
+
+def _encode_unframed_reply(
+    status: int, request_id: str, body: bytes, headers: dict[str, str]
+) -> bytes:
+    """Encode a reply with neither a length nor chunks, but for those in the headers."""
     fields = {
         names.SERVER_LOAD: "0,0,6",
         **headers,
         names.REQUEST_ID: request_id,
-        "Content-Length": str(len(body)),
     }
     head = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
     return f"HTTP/1.1 {status} Reason\r\n{head}\r\n".encode() + body
--- a/src/boragespring/platform/server_calls.py
+++ b/src/boragespring/platform/server_calls.py
@@ -27,6 +27,7 @@
     ServerUnreachableError,
 )
 from boragespring.http.bounded_reply import create_connector, read_body
+from boragespring.http.connection_watch import ConnectionWatch, watch_connection
 from boragespring.http.reply_end import ReplyEnd, ReplyFraming
 from boragespring.http.single_send import create_single_send_session
 from boragespring.json_document import parse_json
@@ -181,6 +182,16 @@
         writer.close()
         return Reachability.ACCEPTING
 
+    async def watch_connection(self, server: BackendServer) -> ConnectionWatch | None:
+        """Open a connection that shows the end of the server's process, if possible."""
+        address = server.address
+        try:
+            async with asyncio.timeout(self._settings.connect_timeout_s):
+                return await watch_connection(address.host, address.port)
+        except OSError:
+            # How the server responds is found out at the end of its reply.
+            return None
+
     async def fetch_report(self, server: BackendServer) -> ServerReport:
         """Fetch a model server's load and state.
 
--- a/src/boragespring/platform/tests/test_forwarding_buffered.py
+++ b/src/boragespring/platform/tests/test_forwarding_buffered.py
@@ -6,7 +6,7 @@
 import pytest
 from yarl import URL
 
-from boragespring.platform.emulator import ServiceFault
+from boragespring.platform.emulator import CrashPoint, ServiceFault
 from boragespring.platform.tests.support import (
     deployment,
     log_records,
@@ -119,6 +119,50 @@
                 assert (await response.read())[:9] == b"answer of"
 
 
+# Guards against a reply that is cut by the end of its server, and passed as complete.
+@pytest.mark.parametrize(("path", "status"), [("/book/x", 502), ("/look/x", 200)])
+async def test_unframed_reply_of_a_crashed_server_is_not_passed_as_complete(
+    session, path, status
+):
+    async with deployment(services=2) as platform:
+        crashing = platform.crashing
+        crashing.points[b"bad"] = CrashPoint(0.05, has_head=True, is_unframed=True)
+        crashed = []
+        # The first server crashes alone, and for good.
+        crashing.on_crash = lambda server: crashed.append(crashing.points.clear())
+        url = platform.gateways[0].url + path
+        async with session.post(
+            url, headers=request_headers("r1"), data=b"bad"
+        ) as response:
+            body = await response.read()
+            assert response.status == status
+        assert crashed
+        signed = "Boragespring-Response-Signature" in response.headers
+        assert signed == (status == 200)
+        assert status != 200 or body in (b"answer of desk-0", b"answer of desk-1")
+
+
+# Guards against a new process that accepts connections under the address of the crashed
+# server, before the store knows: it is taken for the one that replied.
+async def test_unframed_reply_of_a_server_replaced_at_once_is_not_passed(session):
+    async with deployment(services=1) as platform:
+        crashing = platform.crashing
+        crashing.points[b"bad"] = CrashPoint(0.2, has_head=True, is_unframed=True)
+        restarts = []
+        crashing.on_crash = lambda server: restarts.append(
+            asyncio.create_task(server.start())
+        )
+        url = platform.gateways[0].url + "/book/x"
+        async with session.post(
+            url, headers=request_headers("r1"), data=b"bad"
+        ) as response:
+            assert response.status == 502
+        (restart,) = restarts
+        await restart
+        (record,) = log_records(platform.gateways[0], "try_again")
+        assert record.outcome.endswith("the server closed its connections together")
+
+
 async def test_request_is_refused_at_once_without_servers(session):
     async with deployment(services=0) as platform:
         url = platform.gateways[0].url + "/book/x"
