Each request at a gateway ends with one line, and a stop tells what it interrupts

`drain_ended` counted nothing and had no monotonic time, so that `explain` skipped it. Callers that left, bodies that were refused before validation, and errors left no line either.

Cause: final lines were written by the forwarder after a reply; a handler that is cancelled, by the shutdown of the server or by a caller that leaves, never gets there.

Change: `RequestTracker` holds every request from its head to its final line, and the handler of the HTTP server closes it in any case. `RequestProgress` (on `CallerRequest`, `job.progress`) has the stage (body, waiting, sent, answering, moving, between_servers), the server, the sends and the run. `answered` gets the outcomes `cut` with the reason `stop_timeout` or `second_signal`, `caller_left` and `failed`; final lines during a stop have their times relative to the signal. `stopping` and `drain_ended` (now of the decision log) count what is open. `peer_stopping` is new, and the metric `_cut_by_stop_total`. `answered` of a buffered reply is written after it was sent. `explain` shows the stop that had begun and, without a final line, the next start.

Seam for a staged end: `Gateway.tracker` knows what is open and in which stage; `Gateway.record_drain_end` is called by `run_daemon` before `stop` and sets the reason of the cuts; `UnansweredRequests.end` is unchanged, as is all behaviour towards callers.

--- a/src/boragespring/agent/daemon.py
+++ b/src/boragespring/agent/daemon.py
@@ -9,6 +9,7 @@
 from boragespring.agent.workload import Workload
 from boragespring.answers import AnswerRegistry
 from boragespring.answers.messages import ConfirmLeaving, LeavingConfirmed
+from boragespring.drain_end import DrainEnd
 from boragespring.http import HttpServer
 from boragespring.links import Dispatcher, Link, LinkServer
 from boragespring.resources import Closable
@@ -135,6 +136,12 @@
         # cannot arrive either.
         await asyncio.gather(*calls, return_exceptions=True)
 
+    def record_drain_end(self, end: DrainEnd) -> None:
+        """Log why the drain has ended early, and what is still running."""
+        logging.warning(
+            "event=drain_ended reason=%s running=%d", end.value, self.running
+        )
+
     async def stop(self) -> None:
         """Close the ports and all resources."""
         self._leaving.stop()
--- a/src/boragespring/cli/explain.py
+++ b/src/boragespring/cli/explain.py
@@ -1,5 +1,6 @@
 """Command that reconstructs the timeline of one request from gateway logs."""
 
+import itertools
 import json
 import sys
 from collections.abc import Iterable, Iterator, Mapping
@@ -19,6 +20,10 @@
 STANDARD_FIELDS = frozenset(
     ("event", "level", "process_name", "about", "time", "mono_s", "request_id")
 )
+#: Changes of a process that tell whether it was running or stopping.
+PROCESS_EVENTS = frozenset(("started", "stopping", "drained", "drain_ended", "stopped"))
+#: Last lines of a request.
+FINAL_EVENTS = frozenset(("answered", "refused"))
 #: Fields of a request's log lines that name a server.
 SERVER_FIELDS = ("server", "source", "target")
 
@@ -120,7 +125,9 @@
 
     Included are state changes of the request's servers, and starts, stops and lost
     dependencies of the processes that handled the request. Both must lie within a
-    window around the request's own lines and come from the same process.
+    window around the request's own lines and come from the same process. A stop that
+    had begun before is included too and, if the request has no final line, all that
+    the process did until its next start.
 
     Parameters
     ----------
@@ -156,6 +163,42 @@
         names_server = line.fields.get("server") in servers
         return is_in_window and (names_server or line.about == "lifecycle")
 
+    relevant = list(filter(is_relevant, all_lines))
+    changes = (
+        change
+        for name in times_by_process
+        for change in _process_changes(
+            [line for line in all_lines if line.process_name == name],
+            [line for line in request_lines if line.process_name == name],
+        )
+        if change not in relevant
+    )
     return sorted(
-        filter(is_relevant, all_lines), key=lambda line: (line.time, line.mono_s)
+        itertools.chain(relevant, changes), key=lambda line: (line.time, line.mono_s)
+    )
+
+
+def _process_changes(
+    process_lines: list[LogLine], request_lines: list[LogLine]
+) -> Iterator[LogLine]:
+    """Yield the changes of one process that tell how a request could end there.
+
+    These are the stop that had begun when the request arrived and, if the request has
+    no final line, all further changes until the next start.
+    """
+    changes = sorted(
+        (line for line in process_lines if line.event in PROCESS_EVENTS),
+        key=lambda line: line.mono_s,
     )
+    first_s = min(line.mono_s for line in request_lines)
+    last_s = max(line.mono_s for line in request_lines)
+    before = [line for line in changes if line.mono_s < first_s]
+    started = [index for index, line in enumerate(before) if line.event == "started"]
+    yield from before[started[-1] + 1 if started else 0 :]
+    if any(line.event in FINAL_EVENTS for line in request_lines):
+        return
+    for line in changes:
+        if line.mono_s > last_s:
+            yield line
+        if line.mono_s > last_s and line.event == "started":
+            return
--- a/src/boragespring/cli/tests/test_explain.py
+++ b/src/boragespring/cli/tests/test_explain.py
@@ -46,6 +46,29 @@
     assert timeline[1].fields["server"] == "s1"
 
 
+CUT_LOG = [
+    log_line("g1", 1.0, "started", "lifecycle"),
+    log_line("g1", 10.0, "stopping", "lifecycle"),
+    log_line("g1", 16.0, "placed", request_id="r1", server="s1"),
+    log_line("g1", 17.7, "drain_ended", "lifecycle", reason="stop_timeout"),
+    log_line("g1", 17.9, "answered", request_id="r1", outcome="cut"),
+    log_line("g1", 20.0, "placed", request_id="r2", server="s1"),
+    log_line("g1", 40.0, "started", "lifecycle"),
+    log_line("g1", 50.0, "stopping", "lifecycle"),
+]
+
+
+def test_timeline_of_a_cut_request_has_the_stop_that_had_begun_before():
+    timeline = build_timeline("r1", parse_lines(CUT_LOG))
+    events = ["stopping", "placed", "drain_ended", "answered"]
+    assert [line.event for line in timeline] == events
+
+
+def test_timeline_without_a_final_line_has_the_next_start_of_the_process():
+    timeline = build_timeline("r2", parse_lines(CUT_LOG))
+    assert [line.event for line in timeline][-2:] == ["placed", "started"]
+
+
 def test_command_reads_files_and_exits_with_1_for_an_unknown_request(tmp_path):
     path = tmp_path / "g1.log"
     path.write_text("\n".join(LOG), encoding="utf-8")
--- a/src/boragespring/composition/gateway.py
+++ b/src/boragespring/composition/gateway.py
@@ -27,6 +27,7 @@
     MoveScheduler,
     MoveSettings,
     PlacementSettings,
+    RequestTracker,
     RequestValidator,
     RequestValidatorSettings,
     RetryBudget,
@@ -88,6 +89,9 @@
     load_sharing = LoadSharing(
         fleet, peers.dispatcher, peers.network, LoadSharingSettings()
     )
+    load_sharing.stopping_hooks.append(
+        lambda name: log.lifecycle("peer_stopping", peer=name)
+    )
     validator = RequestValidator(catalog_holder, _validator_settings(settings.bounds))
     validator.has_other_gateway = load_sharing.has_serving_peer
     retry_budget = RetryBudget(_retry_budget_settings(settings.bounds), peers.count)
@@ -119,7 +123,8 @@
         notify_loads=load_sharing.schedule_update,
     )
     evacuations = EvacuationSharing(peers.network, load_sharing.has_load)
-    forwarder = _build_forwarder(context, validator, evacuations)
+    tracker = RequestTracker(log, metrics)
+    forwarder = _build_forwarder(context, validator, evacuations, tracker)
     location = GatewayLocation(settings.name, settings.availability_zone)
     watch_rotation = WatchRotation(location, peers.network.reachable_relays)
     store_sync = build_store_sync(
@@ -166,7 +171,9 @@
 
     gateway = Gateway(
         # HTTP server for the requests of the callers.
-        callers=GatewayHttpServer(settings.callers, forwarder, caller_limits, log),
+        callers=GatewayHttpServer(
+            settings.callers, forwarder, caller_limits, tracker, log
+        ),
         listeners=[peers.server],
         loops=(
             *store_sync.loops,
@@ -191,6 +198,7 @@
         # Decides readiness by its catalog, and on shutdown refuses requests whose
         # reply could be interrupted.
         validator=validator,
+        tracker=tracker,
         settings=settings,
         log=log,
     )
@@ -277,6 +285,7 @@
     context: ForwardingContext,
     validator: RequestValidator,
     evacuations: EvacuationSharing,
+    tracker: RequestTracker,
 ) -> Forwarder:
     scheduler = MoveScheduler(context, MoveSettings(), evacuations)
     evacuations.announce_hooks.append(scheduler.on_peer_runs)
@@ -286,6 +295,7 @@
         buffered=BufferedForwarder(context, BufferedSettings()),
         streaming=StreamForwarder(context, scheduler, StreamSettings()),
         context=context,
+        tracker=tracker,
     )
 
 
--- a/src/boragespring/composition/process.py
+++ b/src/boragespring/composition/process.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from absl import logging
+from boragespring.drain_end import DrainEnd
 
 __all__ = ["Daemon", "run_daemon"]
 
@@ -31,6 +31,10 @@
         """
         ...
 
+    def record_drain_end(self, end: DrainEnd) -> None:
+        """Record why the drain has ended before all work, which `stop` cuts off."""
+        ...
+
     async def stop(self) -> None:
         """Close all ports and connections."""
         ...
@@ -76,19 +80,19 @@
         (drain_task, interrupt_task), return_when=asyncio.FIRST_COMPLETED
     )
     interrupt_task.cancel()
-    exit_code = _exit_code(drain_task)
+    drain_end = _drain_end(drain_task)
+    if drain_end is not None:
+        daemon.record_drain_end(drain_end)
     await daemon.stop()
-    return exit_code
+    return EXIT_OK if drain_end is None else EXIT_DRAIN_INTERRUPTED
 
 
-def _exit_code(drain_task: asyncio.Task[None]) -> int:
-    """Return the exit code for the result of a drain; cancel a pending drain."""
+def _drain_end(drain_task: asyncio.Task[None]) -> DrainEnd | None:
+    """Return why a drain has ended early; cancel a pending drain."""
     if not drain_task.done():
         drain_task.cancel()
-        logging.warning("event=drain_ended reason=second_signal")
-        return EXIT_DRAIN_INTERRUPTED
+        return DrainEnd.SECOND_SIGNAL
     if isinstance(drain_task.exception(), TimeoutError):
-        logging.warning("event=drain_ended reason=stop_timeout")
-        return EXIT_DRAIN_INTERRUPTED
+        return DrainEnd.STOP_TIMEOUT
     drain_task.result()
-    return EXIT_OK
+    return None
--- a/src/boragespring/entry/daemon.py
+++ b/src/boragespring/entry/daemon.py
@@ -8,6 +8,7 @@
 
 from boragespring.answers import AnswerTable
 from boragespring.claims import ClaimedCalls
+from boragespring.drain_end import DrainEnd
 from boragespring.entry.gate import RequestGate
 from boragespring.http import HttpServer
 from boragespring.links import LinkServer
@@ -117,6 +118,12 @@
             await self._gate.wait_idle()
             await self._claims.wait_idle()
 
+    def record_drain_end(self, end: DrainEnd) -> None:
+        """Log why the drain has ended early, and what is still running."""
+        logging.warning(
+            "event=drain_ended reason=%s running=%d", end.value, self.running
+        )
+
     async def stop(self) -> None:
         """Cancel the background tasks and close all ports and resources."""
         cut_off = len(self._table)
--- a/src/boragespring/forwarding/__init__.py
+++ b/src/boragespring/forwarding/__init__.py
@@ -40,6 +40,8 @@
 from boragespring.forwarding.move_cost import MoveSettings
 from boragespring.forwarding.move_scheduler import MoveScheduler
 from boragespring.forwarding.placement import PlacementSettings
+from boragespring.forwarding.progress import RequestProgress, RequestStage
+from boragespring.forwarding.request_tracker import OpenRequests, RequestTracker
 from boragespring.forwarding.retry_budget import RetryBudget, RetryBudgetSettings
 from boragespring.forwarding.server_statements import ServerStatement, ServerStatements
 from boragespring.forwarding.streaming import StreamForwarder, StreamSettings
@@ -70,6 +72,10 @@
     "ReplyBrokenError",
     "ReplyHead",
     "ReplyLostError",
+    "OpenRequests",
+    "RequestProgress",
+    "RequestStage",
+    "RequestTracker",
     "ResumePoint",
     "RetryBudget",
     "RetryBudgetSettings",
--- a/src/boragespring/forwarding/buffered.py
+++ b/src/boragespring/forwarding/buffered.py
@@ -213,6 +213,7 @@
         self, job: Job, server: BackendServer, progress: _Progress
     ) -> BufferedReply | _NotRun | _ReplyLost:
         progress.excluded.add(server.server_id)
+        job.progress.send(server.server_id)
         now_s = time.monotonic()
         server.runs[job.request_id] = RunLoad(0, 0.0, now_s)
         try:
@@ -228,6 +229,7 @@
         finally:
             self._context.crash_detector.run_ended(server, job.request_id)
             self._context.fleet.remove_run(server, job.request_id)
+        job.progress.take_back()
         self._record_outcome(job, server, outcome, now_s)
         if isinstance(outcome, _NotRun):
             return outcome
--- a/src/boragespring/forwarding/jobs.py
+++ b/src/boragespring/forwarding/jobs.py
@@ -21,6 +21,7 @@
     RefusalReason,
     ResumePoint,
 )
+from boragespring.forwarding.progress import RequestProgress
 from boragespring.quarantine import CrashEvidence, RequestIdentity, Traits
 
 __all__ = ["Job", "RequestValidator", "RequestValidatorSettings", "traits_of"]
@@ -106,6 +107,11 @@
         """Identifier of the request."""
         return self.request.request_id
 
+    @property
+    def progress(self) -> RequestProgress:
+        """Progress of the request."""
+        return self.request.progress
+
     @property
     def shared_prompt(self) -> Traits:
         """Parts of the prompt that other requests may share; empty if none."""
--- a/src/boragespring/forwarding/messages.py
+++ b/src/boragespring/forwarding/messages.py
@@ -5,10 +5,11 @@
 from enum import Enum, StrEnum, auto
 from typing import Protocol
 
-from attrs import frozen
+from attrs import Factory, field, frozen
 
 from boragespring.fleet import BackendServer, ServerAddress
 from boragespring.fleet.model import ServerReport
+from boragespring.forwarding.progress import RequestProgress
 from boragespring.http.reply_end import ReplyFraming
 
 __all__ = [
@@ -130,6 +131,8 @@
     last_event_id : str
         Identifier of the last event that the caller has already received, of an
         earlier request for the same stream; empty if there is none.
+    progress : RequestProgress
+        Progress of the request.
     """
 
     request_id: str
@@ -143,6 +146,16 @@
     deadline_s: float
     prompt: PromptShape | None = None
     last_event_id: str = ""
+    progress: RequestProgress = field(
+        default=Factory(
+            lambda self: RequestProgress(
+                self.request_id, self.arrived_at_s, self.deadline_s
+            ),
+            takes_self=True,
+        ),
+        eq=False,
+        repr=False,
+    )
 
     @property
     def path(self) -> str:
--- a/src/boragespring/forwarding/running_stream.py
+++ b/src/boragespring/forwarding/running_stream.py
@@ -8,6 +8,7 @@
 from boragespring.fleet import BackendServer
 from boragespring.fleet.model import RunLoad
 from boragespring.forwarding.jobs import Job
+from boragespring.forwarding.progress import RequestStage
 from boragespring.http.reply_end import ReplyFraming
 
 __all__ = ["Handover", "RunningStream"]
@@ -84,6 +85,22 @@
     unterminated_bytes: int = 0
     _last_event_at_s: float = float("inf")
 
+    @property
+    def server_id(self) -> str:
+        """Identifier of the server on which the run currently executes."""
+        return self.server.server_id
+
+    @property
+    def stage(self) -> RequestStage:
+        """What the stream is waiting for."""
+        if self.is_stopping or self.is_reply_broken:
+            return RequestStage.BETWEEN_SERVERS
+        return RequestStage.ANSWERING if self.target is None else RequestStage.MOVING
+
+    def silent_s(self, now_s: float) -> float:
+        """Return the time in seconds since the last event, or since it was sent."""
+        return now_s - (self._last_event_at_s if self.events else self.load.sent_at_s)
+
     @property
     def tokens_per_event(self) -> int:
         """Number of tokens in one event."""
--- a/src/boragespring/forwarding/streaming.py
+++ b/src/boragespring/forwarding/streaming.py
@@ -3,7 +3,6 @@
 import asyncio
 import random
 import time
-from enum import Enum, auto
 from functools import partial
 
 from attrs import define, field, frozen
@@ -38,10 +37,10 @@
     choose_server,
 )
 from boragespring.forwarding.running_stream import RunningStream
+from boragespring.forwarding.stream_outcome import StreamEnd, StreamOutcome
 from boragespring.forwarding.stream_relay import StreamRelay
-from boragespring.http.reply_end import ReplyFraming
 
-__all__ = ["StreamForwarder", "StreamOutcome", "StreamSettings"]
+__all__ = ["StreamForwarder", "StreamSettings"]
 
 _NO_PROMPT = PromptShape(0, 0)
 
@@ -72,46 +71,6 @@
     overload: OverloadSettings = OverloadSettings()
 
 
-class StreamEnd(Enum):
-    """Way in which the reply to the caller ended."""
-
-    COMPLETE = auto()
-    CUT = auto()
-
-
-@frozen
-class StreamOutcome:
-    """Result of a stream that was started, as written to the log.
-
-    Parameters
-    ----------
-    end : StreamEnd
-        Way in which the reply to the caller ended.
-    reason : str
-        Reason for an interruption, or the status of an error reply; empty if the
-        stream is complete.
-    server_id : str
-        Last server on which the run executed.
-    events, moves : int
-        Number of events received and of moves completed.
-    longest_pause_s : float
-        Longest time in seconds between two consecutive events.
-    framing : ReplyFraming
-        How the last server's reply marks its end.
-    unterminated_bytes : int
-        Number of bytes after the last complete event of that reply.
-    """
-
-    end: StreamEnd
-    reason: str
-    server_id: str
-    events: int = 0
-    moves: int = 0
-    longest_pause_s: float = 0.0
-    framing: ReplyFraming = ReplyFraming.LENGTH
-    unterminated_bytes: int = 0
-
-
 @define
 class _SendHistory:
     """Servers that the request has been sent to."""
@@ -196,6 +155,7 @@
             opened = await self._send(job, server)
             if isinstance(opened, _OpenedReply | Refusal):
                 return opened
+            job.progress.take_back()
             self._context.metrics.record_retry("not_run")
             self._context.log.request(
                 "try_again",
@@ -279,6 +239,7 @@
             tokens_to_read=server.load.prefill_tokens + prompt.prompt_tokens,
         )
         server.runs[job.request_id] = load
+        job.progress.send(server.server_id)
         self._context.notify_loads()
         is_open = False
         try:
@@ -339,6 +300,7 @@
             self._context.fleet.remove_run(opened.server, job.request_id)
         has_failed = opened.reply.head.status >= 500
         self._context.outliers.record(opened.server, has_failed=has_failed)
+        job.progress.answer()
         await caller.send_buffered(opened.reply.head, bytes(body))
         reason = f"status {opened.reply.head.status}"
         return StreamOutcome(StreamEnd.COMPLETE, reason, opened.server.server_id)
@@ -358,6 +320,7 @@
         timeout_s = self._settings.handover_timeout_s
         relay = StreamRelay(self._context, stream, caller, timeout_s)
         self._move_scheduler.add(stream)
+        job.progress.run = stream
         try:
             async with asyncio.timeout_at(job.deadline_s):
                 await caller.start(head)
--- a/src/boragespring/gateway/daemon.py
+++ b/src/boragespring/gateway/daemon.py
@@ -10,8 +10,9 @@
 from attrs import define, field
 
 from boragespring.decisions import DecisionLog
+from boragespring.drain_end import DrainEnd
 from boragespring.event_loop import sleep_until_tick
-from boragespring.forwarding import RequestValidator
+from boragespring.forwarding import RequestTracker, RequestValidator
 from boragespring.settings.gateway import GatewayBounds, GatewaySettings
 
 __all__ = ["CallerServer", "Gateway", "Listener"]
@@ -84,6 +85,8 @@
     validator : RequestValidator
         Validator of requests; the gateway is ready while it has a usable
         catalog.
+    tracker : RequestTracker
+        Tracks the requests that are open.
     settings : GatewaySettings
         Active settings.
     log : DecisionLog
@@ -100,6 +103,7 @@
     status: Callable[[], dict[str, Any]]
     close_hooks: Sequence[Callable[[], Awaitable[None]]]
     validator: RequestValidator
+    tracker: RequestTracker
     settings: GatewaySettings
     log: DecisionLog
     _tasks: list["asyncio.Task[None]"] = field(factory=list)
@@ -153,12 +157,18 @@
         started_s = time.monotonic()
         self._is_leaving = True
         self.callers.is_leaving = True
+        self.tracker.begin_stop()
         self.validator.stop_at(
             started_s + self.settings.bounds.stop_grace_s - CLOSE_RESERVE_S
         )
         for hook in self.leave_hooks:
             hook()
-        self.log.lifecycle("stopping", grace_s=self.settings.bounds.stop_grace_s)
+        self.log.lifecycle(
+            "stopping",
+            grace_s=self.settings.bounds.stop_grace_s,
+            has_other_gateway=self.validator.has_other_gateway(),
+            **attrs.asdict(self.tracker.summarize()),
+        )
         async with asyncio.timeout(self.settings.bounds.stop_grace_s - CLOSE_RESERVE_S):
             await asyncio.sleep(BALANCER_DELAY_S)
             await self.callers.wait_idle()
@@ -167,10 +177,20 @@
         self.validator.stop_at(time.monotonic())
         self.log.lifecycle("drained", took_s=round(time.monotonic() - started_s, 3))
 
+    def record_drain_end(self, end: DrainEnd) -> None:
+        """Log why the drain has ended early, and which requests are open."""
+        self.tracker.begin_end(end.value)
+        self.log.lifecycle(
+            "drain_ended",
+            reason=end.value,
+            **attrs.asdict(self.tracker.summarize()),
+        )
+
     async def stop(self) -> None:
         """Cancel the background tasks and close all ports and resources."""
         for task in self._tasks:
             task.cancel()
+        self.tracker.begin_end()
         for end in self.end_hooks:
             end()
         # This waits for a moment, in which the last answers are sent.
--- a/src/boragespring/gateway_peers/loads.py
+++ b/src/boragespring/gateway_peers/loads.py
@@ -112,6 +112,8 @@
         self._network = network
         self._settings = settings
         self._clock = clock
+        #: Called with the name of a peer that begins to stop.
+        self.stopping_hooks: list[Callable[[str], None]] = []
         #: Loads received from each peer, by server.
         self._received: dict[str, dict[str, PeerLoad]] = {}
         #: Link on which each peer sent all its loads. They count as long as it is open.
@@ -349,6 +351,8 @@
 
     def _handle_leaving(self, message: GatewayLeaving) -> None:
         self._network.leaving[message.name] = self._clock()
+        for hook in self.stopping_hooks:
+            hook(message.name)
 
     def _on_down(self, link: Link) -> None:
         name = link.peer.name
--- a/src/boragespring/http/caller_connection.py
+++ b/src/boragespring/http/caller_connection.py
@@ -33,6 +33,11 @@
         Limits that are in effect when the connection is opened.
     log : DecisionLog
         Log in which refused heads are recorded.
+
+    Attributes
+    ----------
+    is_lost : bool
+        Whether the connection has been closed.
     """
 
     def __init__(
@@ -52,6 +57,7 @@
         )
         self._limits = limits
         self._log = log
+        self.is_lost = False
         self._is_reading_head = True
         self._head_bytes = 0
         self._head_timer: asyncio.TimerHandle | None = None
@@ -82,6 +88,7 @@
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Stop the timer when the connection is lost."""
+        self.is_lost = True
         self._stop_timer()
         super().connection_lost(exc)
 
--- a/src/boragespring/metrics/gateway.py
+++ b/src/boragespring/metrics/gateway.py
@@ -54,6 +54,13 @@
             ("end", "framing", "within_event"),
             registry=registry,
         )
+        self._cut_by_stop = Counter(
+            "boragespring_gateway_cut_by_stop",
+            "Requests that the end of the process interrupted, by what they waited"
+            " for.",
+            ("kind", "stage"),
+            registry=registry,
+        )
         self._retries = Counter(
             "boragespring_gateway_repeats",
             "Requests sent to a further server, by what the one before did.",
@@ -95,6 +102,10 @@
         within_event = "yes" if is_event_unterminated else "no"
         self._stream_ends.labels(end, framing, within_event).inc()
 
+    def record_cut_by_stop(self, kind: str, stage: str) -> None:
+        """Count a request that the end of the process interrupted."""
+        self._cut_by_stop.labels(kind, stage).inc()
+
     def record_retry(self, outcome: str) -> None:
         """Count a retry on another server, by the outcome of the previous attempt."""
         self._retries.labels(outcome).inc()
--- a/src/boragespring/platform/http_server.py
+++ b/src/boragespring/platform/http_server.py
@@ -1,7 +1,6 @@
 """HTTP server that passes callers' requests to the forwarder."""
 
 import asyncio
-import time
 from collections.abc import Callable, Iterable
 from typing import Protocol
 
@@ -20,6 +19,8 @@
     PromptShape,
     Refusal,
     RefusalReason,
+    RequestProgress,
+    RequestTracker,
 )
 from boragespring.http.caller_connection import (
     CallerConnection,
@@ -55,6 +56,8 @@
         Handler of requests that were parsed without errors.
     limits : callable
         Returns the limits on callers that are currently active.
+    tracker : RequestTracker
+        Tracks the requests from their arrival to their end.
     log : DecisionLog
         Log of refused request heads.
 
@@ -72,8 +75,10 @@
         address: AddressSettings,
         forwarder: RequestHandler,
         limits: Callable[[], CallerLimits],
+        tracker: RequestTracker,
         log: DecisionLog,
     ) -> None:
+        self._tracker = tracker
         self._log = log
         self._address = address
         self._forwarder = forwarder
@@ -135,17 +140,24 @@
         )
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        progress = self._track(request)
         self.in_progress += 1
         caller = HttpCallerReply(request, self.is_leaving)
         try:
-            parsed = await _parse_request(request, self._limits())
+            parsed = await _parse_request(request, progress, self._limits())
             if isinstance(parsed, Refusal):
+                self._tracker.refused(progress, parsed)
                 await caller.refuse(parsed)
             else:
                 await self._forwarder.serve(parsed, caller)
         except ConnectionError:
+            progress.has_caller_left = True
             caller.abort()
+        except Exception as error:
+            self._tracker.failed(progress, error)
+            raise
         finally:
+            self._end_tracking(request, progress)
             self.in_progress -= 1
             self._request_finished.set()
             is_body_read = request.content.is_eof()
@@ -155,17 +167,30 @@
                 request.protocol.on_request_handled()
         return caller.response or web.Response(status=500)
 
+    def _track(self, request: web.BaseRequest) -> RequestProgress:
+        headers = request.headers
+        return self._tracker.open(
+            headers.get(names.REQUEST_ID, ""),
+            _parse_time_remaining(headers.get(names.TIME_REMAINING_MS)),
+        )
+
+    def _end_tracking(
+        self, request: web.BaseRequest, progress: RequestProgress
+    ) -> None:
+        connection = request.protocol
+        if isinstance(connection, CallerConnection) and connection.is_lost:
+            progress.has_caller_left = True
+        self._tracker.interrupted(progress)
+
 
 async def _parse_request(
-    request: web.BaseRequest, limits: CallerLimits
+    request: web.BaseRequest, progress: RequestProgress, limits: CallerLimits
 ) -> CallerRequest | Refusal:
-    arrived_at_s = time.monotonic()
     headers = request.headers
-    remaining_s = _parse_time_remaining(headers.get(names.TIME_REMAINING_MS))
     if head_bytes(request) > limits.header_bytes:
         return Refusal(RefusalReason.HEAD_TOO_LARGE, was_not_run=True)
     try:
-        async with asyncio.timeout(remaining_s):
+        async with asyncio.timeout_at(progress.deadline_s):
             body = await request.read()
     except web.HTTPRequestEntityTooLarge:
         return Refusal(RefusalReason.TOO_LARGE, was_not_run=True)
@@ -182,10 +207,11 @@
         headers=tuple(_end_to_end_headers(headers)),
         body=body,
         credential=headers.get(names.CREDENTIAL, ""),
-        arrived_at_s=arrived_at_s,
-        deadline_s=arrived_at_s + remaining_s,
+        arrived_at_s=progress.arrived_at_s,
+        deadline_s=progress.deadline_s,
         prompt=_parse_prompt(headers),
         last_event_id=headers.get(names.LAST_EVENT_ID, ""),
+        progress=progress,
     )
 
 
--- a/src/boragespring/platform/tests/test_planned_stop.py
+++ b/src/boragespring/platform/tests/test_planned_stop.py
@@ -8,6 +8,7 @@
 from attrs import evolve
 
 from boragespring.child_processes import free_ports
+from boragespring.drain_end import DrainEnd
 from boragespring.forwarding import RefusalReason
 from boragespring.platform.emulator import EngineSpec, ServiceFault
 from boragespring.platform.emulator.catalog import STANDARD_ROUTES
@@ -49,9 +50,24 @@
     platform.gateways.remove(process)
     with pytest.raises(TimeoutError):
         await process.gateway.drain()
+    process.gateway.record_drain_end(DrainEnd.STOP_TIMEOUT)
     await process.gateway.stop()
 
 
+def final_lines(process):
+    return [*log_records(process, "answered"), *log_records(process, "refused")]
+
+
+async def begin_call(process, request_id, body_bytes):
+    """Send the head of a call and one byte of its body; return its connection."""
+    callers = process.settings.callers
+    reader, writer = await asyncio.open_connection(callers.host, callers.port)
+    fields = {**request_headers(request_id), "Content-Length": str(body_bytes)}
+    lines = ["POST /book/x HTTP/1.1", *(f"{name}: {fields[name]}" for name in fields)]
+    writer.write("\r\n".join([*lines, "", "x"]).encode())
+    return reader, writer
+
+
 # Guards against streams that are cut without an answer at the end of a planned stop:
 # a short stream at a server with a long queue was taken, as it usually ends in time.
 async def test_late_stream_at_a_busy_server_is_refused_by_a_stopping_gateway(session):
@@ -94,6 +110,68 @@
         assert {record.reason for record in refused} == {RefusalReason.LEAVING.value}
 
 
+# Guards against requests that the end of a stop interrupts and no line tells of.
+async def test_each_request_that_a_stop_interrupts_has_one_final_line(session):
+    async with deployment(1, engine_spec=EngineSpec(event_interval_s=0.05)) as platform:
+        process = await add_stopping_gateway(platform)
+        async with post_draft(session, process, "s1") as reply:
+            await reply.content.readany()
+            stopping = asyncio.create_task(stop(platform, process))
+            await asyncio.sleep(0.1)
+            _, writer = await begin_call(process, "b1", body_bytes=9)
+            await stopping
+        writer.close()
+    records = {record.request_id: record for record in final_lines(process)}
+    assert len(final_lines(process)) == len(records) == 2
+    stream, body = records["s1"], records["b1"]
+    assert {stream.outcome, body.outcome} == {"cut"}
+    assert {stream.reason, body.reason} == {"stop_timeout"}
+    assert (stream.stage, body.stage) == ("answering", "body")
+    assert stream.server == "engine-0" and stream.events > 0 and stream.left_s > 10
+    assert stream.arrived_after_stop_s < 0 < body.arrived_after_stop_s
+    [drain_ended] = log_records(process, "drain_ended")
+    assert drain_ended.by_kind == {"none": {"body": 1}, "streaming": {"answering": 1}}
+    assert (drain_ended.arrived_before_stop, drain_ended.arrived_after_stop) == (1, 1)
+    assert drain_ended.longest_left_s > 10
+    [began] = log_records(process, "stopping")
+    assert began.by_kind == {"streaming": {"answering": 1}} and began.has_other_gateway
+
+
+# Guards against requests without a final line, as their caller left or their body was
+# refused before they were validated.
+async def test_callers_that_leave_and_refused_bodies_have_one_final_line(session):
+    async with deployment(1, 1, routes=SLOW_ROUTES) as platform:
+        process = platform.gateways[0]
+        platform.services["desk-0"].default_fault = ServiceFault.HANG
+        async with post_draft(session, process, "s1") as reply:
+            await reply.content.readany()
+        for request_id, body_bytes in (("c1", 1), ("b1", 9)):
+            _, writer = await begin_call(process, request_id, body_bytes)
+            await asyncio.sleep(0.1)
+            writer.close()
+        headers = request_headers("big")
+        url, body = process.url + "/book/x", bytes(100_000)
+        assert await _status(session.post(url, headers=headers, data=body)) == 413
+        await wait_until(lambda: len(final_lines(process)) >= 4)
+    outcomes = {
+        record.request_id: (
+            record.reason,
+            getattr(record, "stage", ""),
+            getattr(record, "server", ""),
+        )
+        for record in final_lines(process)
+    }
+    assert len(final_lines(process)) == 4
+    assert outcomes == {
+        "s1": ("", "answering", "engine-0"),
+        "c1": ("", "sent", "desk-0"),
+        "b1": ("", "body", ""),
+        "big": ("too_large", "", ""),
+    }
+    left = [record.outcome for record in log_records(process, "answered")]
+    assert left == ["caller_left"] * 3
+
+
 async def _status(request):
     try:
         async with request as reply:
