--- a/src/boragespring/platform/soak/deployment.py
+++ b/src/boragespring/platform/soak/deployment.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import os
 import signal
 import socket
 import time
@@ -221,7 +222,9 @@
         except TimeoutError:
             if not self.shape.is_killed_after_grace:
                 raise
-            self.signal(gateway, signal.SIGKILL)
+            # If it ends just now, `send_signal` of asyncio would lose its exit code.
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(self._processes.pid(name), signal.SIGKILL)
             return await self._processes.wait(name)
         finally:
             for task in beside:
