--- a/src/boragespring/platform/soak/shape.py
+++ b/src/boragespring/platform/soak/shape.py
@@ -73,12 +73,13 @@
     rng = random.Random(f"shape {seed}")
     is_large = seed >= LARGE_SEED_MIN
     engine_spec = EngineSpec(
-        slots=rng.choice((12, 24)),
-        memory_tokens=rng.choice((30_000, 80_000)),
+        slots=rng.choice((6, 12, 24)),
+        # With little memory, runs are preempted in the middle of their streams.
+        memory_tokens=rng.choice((8_000, 30_000, 80_000)),
         prefill_tokens_per_s=1000.0,
         event_interval_s=0.05 if is_large else rng.choice((0.02, 0.03, 0.05)),
         copy_s_per_token=0.00002,
-        waiting_max=rng.choice((0, 4)),
+        waiting_max=rng.choice((0, 4, 8)),
     )
     return RunShape(
         gateways=rng.randint(20, 30) if is_large else rng.randint(3, 6),
