Check that a plain service outlives its unframed reply, at agents too

An agent passed on what a plain service had sent by its crash as a complete reply, if that reply had neither a length nor chunks: HttpServiceClient took an orderly close for its end, as the kernel closes the connections of a process that crashes.

After such a reply the client opens a connection; if that fails, the outcome of the call is unknown.

--- a/src/boragespring/engines/service_client.py
+++ b/src/boragespring/engines/service_client.py
@@ -1,9 +1,11 @@
 """HTTP client of plain services."""
 
+import asyncio
 import time
 
 import aiohttp
 from attrs import frozen
+from yarl import URL
 
 from boragespring.engines.client import (
     CallNotRunError,
@@ -20,7 +22,8 @@
 )
 from boragespring.engines.vendors import Orca
 from boragespring.http.bounded_reply import read_body
-from boragespring.http.reply_end import ReplyEnd
+from boragespring.http.connection_watch import watch_connection
+from boragespring.http.reply_end import ReplyEnd, ReplyFraming
 from boragespring.http.single_send import create_single_send_session
 
 __all__ = ["HttpServiceClient", "ServiceClientSettings", "create_service_client"]
@@ -82,7 +85,7 @@
         CallNotRunError
             If the service refused the connection or the path is invalid.
         CallOutcomeUnknownError
-            If the reply was lost.
+            If the reply was lost, or ended with its service.
         """
         try:
             async with self.session.request(
@@ -95,6 +98,8 @@
                 reply_end = ReplyEnd(response)
                 body = await read_body(response, BODY_MAX_BYTES)
                 await reply_end.check()
+                if reply_end.framing is ReplyFraming.CONNECTION:
+                    await self._check_still_listens(response.url)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise CallNotRunError(f"cannot connect to the service: {error}") from error
         except aiohttp.InvalidURL as error:
@@ -103,6 +108,18 @@
             raise CallOutcomeUnknownError(f"reply was lost: {error}") from error
         return ServiceReply(response.status, dict(response.headers), body)
 
+    async def _check_still_listens(self, url: URL) -> None:
+        """Raise `CallOutcomeUnknownError` if the service ended with its reply.
+
+        The connections of a service that crashes are closed in order as well.
+        """
+        try:
+            async with asyncio.timeout(self.settings.connect_timeout_s):
+                watch = await watch_connection(url.host or "", url.port or 0)
+        except OSError as error:
+            raise CallOutcomeUnknownError(f"the service is gone: {error}") from error
+        watch.close()
+
     async def fetch_load_report(self) -> LoadReport:
         """Fetch and parse the service's load report.
 
--- a/src/boragespring/engines/tests/test_service_client.py
+++ b/src/boragespring/engines/tests/test_service_client.py
@@ -72,16 +72,17 @@
     assert not service.ledger
 
 
-@pytest.mark.parametrize("is_reset", [False, True])
-async def test_reply_without_a_length_is_complete_unless_its_connection_is_reset(
-    is_reset,
-):
+# Guards against a reply that is cut by the end of its service, and taken as complete.
+@pytest.mark.parametrize("end", ["close", "reset", "crash"])
+async def test_reply_without_a_length_is_complete_only_if_its_service_goes_on(end):
     async def reply_without_length(reader, writer):
         await reader.readuntil(b"\r\n\r\n")
         writer.write(b"HTTP/1.1 200 OK\r\n\r\nbooked")
         await writer.drain()
         await asyncio.sleep(0.02)
-        if is_reset:
+        if end == "crash":
+            server.close()
+        if end == "reset":
             linger = struct.pack("ii", 1, 0)
             connection = writer.get_extra_info("socket")
             connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
@@ -91,7 +92,7 @@
     port = server.sockets[0].getsockname()[1]
     client = create_service_client(f"http://127.0.0.1:{port}")
     try:
-        if is_reset:
+        if end != "close":
             with pytest.raises(CallOutcomeUnknownError):
                 await client.call(ServiceCall("POST", "/pickups", {}, b""))
         else:
