A repeated SIGTERM does not interrupt the drain of a gateway

What callers saw: streams with seconds of their time left were cut without an answer some seconds before the grace period of their gateway ended, when it got SIGTERM once more while it was draining (two stops of one machine in a row).

Cause: `run_daemon` took any second SIGTERM or SIGINT as the wish to end the drain at once. On the users' platform SIGTERM only begins a stop, which SIGKILL ends.

Change: a daemon names the signals that interrupt its drain. For a gateway that is SIGINT alone; a further SIGTERM is logged (stop_repeated). Entries and agents keep their documented behaviour.

Why it works: nothing but the end of the grace period, or its own requests, ends the drain now.

--- a/src/boragespring/cli/gateway.py
+++ b/src/boragespring/cli/gateway.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import signal
 from functools import partial
 from pathlib import Path
 from typing import Annotated
@@ -20,6 +21,9 @@
 
 __all__ = ["add_commands", "gateway"]
 
+#: The platform ends a drain by SIGKILL. It may repeat SIGTERM, which ends none.
+INTERRUPT_SIGNALS = (signal.SIGINT,)
+
 SettingsOption = Annotated[
     Path | None,
     typer.Option(
@@ -46,7 +50,9 @@
 
     async def serve() -> int:
         gateway = build_gateway(loaded, log)
-        return await run_daemon(gateway, partial(_reload, path, gateway, log))
+        return await run_daemon(
+            gateway, partial(_reload, path, gateway, log), INTERRUPT_SIGNALS
+        )
 
     with asyncio.Runner(loop_factory=new_event_loop) as runner:
         exit_code = runner.run(serve())
--- a/src/boragespring/composition/process.py
+++ b/src/boragespring/composition/process.py
@@ -3,13 +3,16 @@
 import asyncio
 import gc
 import signal
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import Protocol
 
+from absl import logging
+
 from boragespring.drain_end import DrainEnd
 
 __all__ = ["Daemon", "run_daemon"]
 
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 EXIT_OK = 0
 EXIT_DRAIN_INTERRUPTED = 1
 
@@ -40,11 +43,14 @@
         ...
 
 
-async def run_daemon(daemon: Daemon, reload: Callable[[], None] | None = None) -> int:
+async def run_daemon(
+    daemon: Daemon,
+    reload: Callable[[], None] | None = None,
+    interrupt_signals: Collection[signal.Signals] = STOP_SIGNALS,
+) -> int:
     """Run a daemon until it is stopped by a signal.
 
-    The first SIGTERM or SIGINT starts the drain, and a second one interrupts
-    it.
+    The first SIGTERM or SIGINT starts the drain.
 
     Parameters
     ----------
@@ -52,6 +58,8 @@
         Daemon to run.
     reload : callable or None
         Function to call on SIGHUP. If None, SIGHUP terminates the process.
+    interrupt_signals : collection of signal.Signals
+        Signals that interrupt the drain; a further one of the others is only logged.
 
     Returns
     -------
@@ -59,14 +67,19 @@
         Exit code of the process: 0 if the drain was completed, 1 if a second
         signal or the timeout interrupted it.
     """
-    first_received, second_received = asyncio.Event(), asyncio.Event()
+    first_received, interrupted = asyncio.Event(), asyncio.Event()
 
-    def on_signal() -> None:
-        (second_received if first_received.is_set() else first_received).set()
+    def on_signal(received: signal.Signals) -> None:
+        if not first_received.is_set():
+            first_received.set()
+        elif received in interrupt_signals:
+            interrupted.set()
+        else:
+            logging.info("event=stop_repeated signal=%s", received.name)
 
     loop = asyncio.get_running_loop()
-    for stop_signal in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(stop_signal, on_signal)
+    for stop_signal in STOP_SIGNALS:
+        loop.add_signal_handler(stop_signal, on_signal, stop_signal)
     if reload is not None:
         loop.add_signal_handler(signal.SIGHUP, reload)
     await daemon.start()
@@ -75,7 +88,7 @@
     gc.freeze()
     await first_received.wait()
     drain_task = asyncio.create_task(daemon.drain())
-    interrupt_task = asyncio.create_task(second_received.wait())
+    interrupt_task = asyncio.create_task(interrupted.wait())
     await asyncio.wait(
         (drain_task, interrupt_task), return_when=asyncio.FIRST_COMPLETED
     )
