A reload signal during the start does not end a gateway

Callers met one gateway less, or none where all restarted after a planned stop.

Cause: until the event loop installs its handler, some tenths of a second of imports later, SIGHUP has its default action.

The command itself moves to gateway_command.py.

Evidence: test_reload_signal_during_the_start_does_not_end_the_process fails on (SIGHUP is never held back) and passes now.

--- a/src/boragespring/cli/app.py
+++ b/src/boragespring/cli/app.py
@@ -13,7 +13,7 @@
     demo,
     explain,
     faults,
-    gateway,
+    gateway_command,
     leave,
     lists,
     replay,
@@ -40,7 +40,7 @@
 demo.add_commands(app)
 explain.add_commands(app)
 faults.add_commands(app)
-gateway.add_commands(app)
+gateway_command.add_commands(app)
 leave.add_commands(app)
 replay.add_commands(app)
 soak.add_commands(app)
--- a/src/boragespring/composition/process.py
+++ b/src/boragespring/composition/process.py
@@ -82,6 +82,8 @@
         loop.add_signal_handler(stop_signal, on_signal, stop_signal)
     if reload is not None:
         loop.add_signal_handler(signal.SIGHUP, reload)
+        # A program may hold the signal back while it starts.
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
     await daemon.start()
     # The objects that exist now live as long as the process. Freezing them keeps
     # the garbage collector from traversing them in each collection.
--- a/src/boragespring/platform/soak/tests/test_signals.py
+++ b/src/boragespring/platform/soak/tests/test_signals.py
@@ -2,12 +2,22 @@
 
 import asyncio
 import signal
+from pathlib import Path
 
 import aiohttp
 import pytest
 
-from boragespring.platform.soak.deployment import SoakDeployment
-from boragespring.platform.tests.support import prompt_headers, request_headers
+from boragespring.child_processes import ProcessSet, free_ports
+from boragespring.platform.soak.deployment import (
+    LOOPBACK,
+    SETTINGS_TEMPLATE,
+    SoakDeployment,
+)
+from boragespring.platform.tests.support import (
+    prompt_headers,
+    request_headers,
+    wait_until,
+)
 
 STREAM_EVENTS = 180
 
@@ -43,3 +53,34 @@
         assert await stream == STREAM_EVENTS
         await stop
     assert gateway.exit_codes == [0]
+
+
+def is_reload_signal_held(status):
+    """Return whether a process holds back SIGHUP, by its page under /proc."""
+    fields = dict(line.split(":", 1) for line in status.read_text().splitlines())
+    return bool(int(fields["SigBlk"], 16) & 1 << signal.SIGHUP - 1)
+
+
+# Guards against a process that ends by a change of its settings while it starts.
+async def test_reload_signal_during_the_start_does_not_end_the_process(tmp_path):
+    settings, (callers, ready, peers) = tmp_path / "settings.toml", free_ports(3)
+    settings.write_text(
+        SETTINGS_TEMPLATE.format(
+            name="gateway-0",
+            host=LOOPBACK,
+            peers=peers,
+            callers=callers,
+            ready=ready,
+            catalog_delay_ms=2000,
+            grace_s=1,
+            store=f"{LOOPBACK}:1",
+        )
+    )
+    async with ProcessSet(tmp_path) as processes:
+        await processes.start(
+            "gateway-0", "boragespring.cli.gateway", "--settings", str(settings)
+        )
+        status = Path(f"/proc/{processes.pid('gateway-0')}/status")
+        await wait_until(lambda: is_reload_signal_held(status))
+        processes.signal("gateway-0", signal.SIGHUP)
+        await wait_until(lambda: "reloaded" in processes.log("gateway-0"))
