A request whose body is still coming in is answered at the end of a stop

What callers saw: a request whose body arrived in pieces was closed without an answer at the end of the grace period, though it had been sent to no server and another gateway would have taken it at once.

Cause: only requests that were handed to a forwarder were known to what answers at the end of a stop; a request with an incomplete body was in no list.

Change: the time in which a body arrives is a limit of `UnansweredRequests` as well, which at the end turns into 503, not run, with the time after which another gateway takes it (also for all other requests that were sent to no server). What comes after the end is answered at once.

Evidence: test_request_whose_body_comes_too_slowly_is_refused_at_the_end fails on (server disconnected) and passes now.

--- a/src/boragespring/composition/gateway.py
+++ b/src/boragespring/composition/gateway.py
@@ -122,6 +122,7 @@
         metrics=metrics,
         notify_loads=load_sharing.schedule_update,
     )
+    context.unanswered.retry_after_s = validator.leaving_retry_after_s
     evacuations = EvacuationSharing(peers.network, load_sharing.has_load)
     tracker = RequestTracker(log, metrics)
     forwarder = _build_forwarder(context, validator, evacuations, tracker)
@@ -172,7 +173,12 @@
     gateway = Gateway(
         # HTTP server for the requests of the callers.
         callers=GatewayHttpServer(
-            settings.callers, forwarder, caller_limits, tracker, log
+            settings.callers,
+            forwarder,
+            caller_limits,
+            tracker,
+            log,
+            context.unanswered,
         ),
         listeners=[peers.server],
         loops=(
--- a/src/boragespring/forwarding/__init__.py
+++ b/src/boragespring/forwarding/__init__.py
@@ -45,6 +45,7 @@
 from boragespring.forwarding.retry_budget import RetryBudget, RetryBudgetSettings
 from boragespring.forwarding.server_statements import ServerStatement, ServerStatements
 from boragespring.forwarding.streaming import StreamForwarder, StreamSettings
+from boragespring.forwarding.unanswered import UnansweredRequests
 
 __all__ = [
     "Attempt",
@@ -89,5 +90,6 @@
     "StreamSettings",
     "BufferedForwarder",
     "BufferedSettings",
+    "UnansweredRequests",
     "traits_of",
 ]
--- a/src/boragespring/forwarding/jobs.py
+++ b/src/boragespring/forwarding/jobs.py
@@ -250,7 +250,7 @@
         if deadline_s <= self._clock():
             return Refusal(RefusalReason.TOO_LATE, was_not_run=True)
         if self._could_outlive_gateway(request, route, deadline_s):
-            return Refusal(RefusalReason.LEAVING, True, self._leaving_retry_after_s())
+            return Refusal(RefusalReason.LEAVING, True, self.leaving_retry_after_s())
         return Job(
             request=request,
             route=route,
@@ -277,7 +277,7 @@
         events_s = prompt.output_tokens * settings.token_interval_max_s
         return now_s + settings.first_event_max_s + events_s > self.stops_at_s
 
-    def _leaving_retry_after_s(self) -> float:
+    def leaving_retry_after_s(self) -> float:
         """Return the delay in seconds until any gateway accepts a retry.
 
         That is another gateway or, if all are shutting down, this one after its
--- a/src/boragespring/platform/http_server.py
+++ b/src/boragespring/platform/http_server.py
@@ -21,6 +21,7 @@
     RefusalReason,
     RequestProgress,
     RequestTracker,
+    UnansweredRequests,
 )
 from boragespring.http.caller_connection import (
     CallerConnection,
@@ -60,6 +61,8 @@
         Tracks the requests from their arrival to their end.
     log : DecisionLog
         Log of refused request heads.
+    unanswered : UnansweredRequests
+        Limits the time in which the body of a request arrives.
 
     Attributes
     ----------
@@ -77,9 +80,11 @@
         limits: Callable[[], CallerLimits],
         tracker: RequestTracker,
         log: DecisionLog,
+        unanswered: UnansweredRequests,
     ) -> None:
         self._tracker = tracker
         self._log = log
+        self._unanswered = unanswered
         self._address = address
         self._forwarder = forwarder
         self._limits = limits
@@ -144,7 +149,9 @@
         self.in_progress += 1
         caller = HttpCallerReply(request, self.is_leaving)
         try:
-            parsed = await _parse_request(request, progress, self._limits())
+            parsed = await _parse_request(
+                request, progress, self._limits(), self._unanswered
+            )
             if isinstance(parsed, Refusal):
                 self._tracker.refused(progress, parsed)
                 await caller.refuse(parsed)
@@ -184,17 +191,22 @@
 
 
 async def _parse_request(
-    request: web.BaseRequest, progress: RequestProgress, limits: CallerLimits
+    request: web.BaseRequest,
+    progress: RequestProgress,
+    limits: CallerLimits,
+    unanswered: UnansweredRequests,
 ) -> CallerRequest | Refusal:
     headers = request.headers
     if head_bytes(request) > limits.header_bytes:
         return Refusal(RefusalReason.HEAD_TOO_LARGE, was_not_run=True)
     try:
-        async with asyncio.timeout_at(progress.deadline_s):
+        async with unanswered.limit(progress.deadline_s):
             body = await request.read()
     except web.HTTPRequestEntityTooLarge:
         return Refusal(RefusalReason.TOO_LARGE, was_not_run=True)
     except TimeoutError:
+        if unanswered.has_ended:
+            return unanswered.refusal(was_not_run=True)
         return Refusal(RefusalReason.TOO_LATE, was_not_run=True)
     request_id = headers.get(names.REQUEST_ID, "")
     if not request_id or not request.raw_path.startswith("/"):
