Requests without an answer get theirs before the last moment of a stop

What callers would see: a gateway that is slow for some tenths of a second at the end of its grace period (other processes, many streams) is killed with its answers unsent: they were given 0.3 s before SIGKILL, in the 0.1 s that the HTTP server then leaves.

Change: 0.6 s before the end of the grace period each request without an answer gets one; streams go on until 0.3 s before it, as before. Requests are taken by a deadline before the first of these.

Evidence: test_last_answers_are_sent_before_a_slow_moment_at_the_end stalls the event loop for 0.3 s from 0.35 s before the end on.

--- a/src/boragespring/gateway/daemon.py
+++ b/src/boragespring/gateway/daemon.py
@@ -20,6 +20,9 @@
 #: Time after the stop signal during which the load balancer, which has to notice
 #: the failed readiness check first, still directs callers to this gateway.
 BALANCER_DELAY_S = 3.5
+#: Part of the grace period before whose begin each request must have an answer, or the
+#: first part of one. A process that is slow just then still sends the last answers.
+ANSWER_RESERVE_S = 0.6
 #: Part of the grace period that is reserved for closing ports and connections.
 CLOSE_RESERVE_S = 0.3
 #: Time between two calls of the maintenance functions.
@@ -76,8 +79,8 @@
     leave_hooks : sequence of callable
         Functions that are called at the start of a shutdown.
     end_hooks : sequence of callable
-        Functions that are called at the end of a shutdown, before the connections of
-        callers are closed.
+        Functions that answer all requests that have no answer yet; called close to
+        the end of the grace period, and before the connections are closed.
     status : callable
         Returns the content of the status page.
     close_hooks : sequence of callable
@@ -155,21 +158,22 @@
             If requests are still running close to the end of the grace period.
         """
         started_s = time.monotonic()
+        grace_s = self.settings.bounds.stop_grace_s
+        answer_s = grace_s - ANSWER_RESERVE_S
         self._is_leaving = True
         self.callers.is_leaving = True
         self.tracker.begin_stop()
-        self.validator.stop_at(
-            started_s + self.settings.bounds.stop_grace_s - CLOSE_RESERVE_S
-        )
+        self.validator.stop_at(started_s + answer_s)
+        asyncio.get_running_loop().call_later(answer_s, self._end_unanswered)
         for hook in self.leave_hooks:
             hook()
         self.log.lifecycle(
             "stopping",
-            grace_s=self.settings.bounds.stop_grace_s,
+            grace_s=grace_s,
             has_other_gateway=self.validator.has_other_gateway(),
             **attrs.asdict(self.tracker.summarize()),
         )
-        async with asyncio.timeout(self.settings.bounds.stop_grace_s - CLOSE_RESERVE_S):
+        async with asyncio.timeout(grace_s - CLOSE_RESERVE_S):
             await asyncio.sleep(BALANCER_DELAY_S)
             await self.callers.wait_idle()
         # A request can still arrive on an open connection before the ports are closed,
@@ -191,8 +195,7 @@
         for task in self._tasks:
             task.cancel()
         self.tracker.begin_end()
-        for end in self.end_hooks:
-            end()
+        self._end_unanswered()
         # This waits for a moment, in which the last answers are sent.
         await self.callers.stop()
         for listener in self.listeners:
@@ -201,6 +204,10 @@
             await close()
         self.log.lifecycle("stopped")
 
+    def _end_unanswered(self) -> None:
+        for end in self.end_hooks:
+            end()
+
     async def _supervise(self, loop: Callable[[], Coroutine[None, None, None]]) -> None:
         """Run a background loop, and start it again after an unexpected error.
 
