A number in a caller's header that is too large is taken as missing

Callers saw: 500 for a request whose Boragespring-Time-Remaining has 400 digits, or where that header, a token count, the length hint or the length of a prompt part has 5,000.

Cause: `isdecimal` lets any length through; `int` refuses over 4,300 digits, and a division to seconds overflows from 309 digits on. The error came up before the request could be tracked, so that it would have had no final line either.

Evidence: the five cases of test_number_of_any_length_in_a_header_is_survived fail on the code before (500 instead of 200) and pass now.

Change: all numbers of callers' headers are read by one function that takes at most 12 digits, which no time or number of tokens exceeds; beyond it they count as missing.

--- a/src/boragespring/platform/http_server.py
+++ b/src/boragespring/platform/http_server.py
@@ -33,8 +33,10 @@
 
 __all__ = ["GatewayHttpServer", "RequestHandler"]
 
-#: Remaining time assumed for a request that does not state it.
+#: Remaining time assumed for a request that does not state it, or no usable one.
 DEFAULT_TIME_REMAINING_S = 60.0
+#: Longest number in a header that is used.
+NUMBER_MAX_DIGITS = 12
 
 
 class RequestHandler(Protocol):
@@ -228,29 +230,37 @@
     )
 
 
+def _parse_number(text: str | None) -> int | None:
+    """Return a number that is not negative, or None if the text is no usable one."""
+    digits = (text or "").strip()
+    is_usable = digits.isdecimal() and len(digits) <= NUMBER_MAX_DIGITS
+    return int(digits) if is_usable else None
+
+
 def _parse_time_remaining(text: str | None) -> float:
     """Return the remaining time in seconds from a header in milliseconds."""
-    if text is None or not text.strip().isdecimal():
-        return DEFAULT_TIME_REMAINING_S
-    return int(text) / 1000
+    remaining_ms = _parse_number(text)
+    return DEFAULT_TIME_REMAINING_S if remaining_ms is None else remaining_ms / 1000
 
 
 def _parse_prompt(headers: CIMultiDictProxy[str]) -> PromptShape | None:
     """Return the token counts of a prompt, or None if they are missing or invalid."""
-    counts = headers.get(names.TOKEN_COUNTS, "").split(",")
-    if len(counts) != 2 or not all(count.strip().isdecimal() for count in counts):
+    counts = [
+        _parse_number(text) for text in headers.get(names.TOKEN_COUNTS, "").split(",")
+    ]
+    if len(counts) != 2 or counts[0] is None or counts[1] is None:
         return None
-    length_hint = headers.get(names.OUTPUT_LENGTH_HINT, "").strip()
     return PromptShape(
-        prompt_tokens=int(counts[0]),
-        output_max_tokens=int(counts[1]),
-        output_hint_tokens=int(length_hint) if length_hint.isdecimal() else None,
+        prompt_tokens=counts[0],
+        output_max_tokens=counts[1],
+        output_hint_tokens=_parse_number(headers.get(names.OUTPUT_LENGTH_HINT)),
         parts=tuple(_parse_prompt_parts(headers.get(names.PROMPT_PARTS, ""))),
     )
 
 
 def _parse_prompt_parts(text: str) -> Iterable[PromptPart]:
     for entry in filter(None, text.split(",")):
-        part_id, _, tokens = entry.strip().partition(":")
-        if tokens.isdecimal():
-            yield PromptPart(part_id, int(tokens))
+        part_id, _, count = entry.strip().partition(":")
+        tokens = _parse_number(count)
+        if tokens is not None:
+            yield PromptPart(part_id, tokens)
--- a/src/boragespring/platform/tests/test_caller_limits.py
+++ b/src/boragespring/platform/tests/test_caller_limits.py
@@ -8,6 +8,7 @@
 from boragespring.platform.tests.support import (
     deployment,
     log_records,
+    prompt_headers,
     request_headers,
 )
 
@@ -54,6 +55,27 @@
         assert not platform.services["desk-0"].received
 
 
+# Guards against 500 for requests with a number that is too large to compute with.
+@pytest.mark.parametrize(
+    "odd",
+    [
+        {"Boragespring-Time-Remaining": "9" * 400},
+        {"Boragespring-Time-Remaining": "9" * 5000},
+        {"Boragespring-Token-Counts": "1," + "9" * 5000},
+        {"Boragespring-Length-Hint": "9" * 5000},
+        {"Boragespring-Prompt-Prefix": "aa:" + "9" * 5000},
+    ],
+    ids=lambda odd: f"{next(iter(odd))}-{len(next(iter(odd.values())))}",
+)
+async def test_number_of_any_length_in_a_header_is_survived(session, odd):
+    async with deployment(services=1) as platform:
+        process = platform.gateways[0]
+        headers = {**request_headers("long"), **prompt_headers(1, 4), **odd}
+        async with session.post(process.url + "/book/x", headers=headers) as response:
+            assert response.status == 200
+        assert len(log_records(process, "answered")) == 1
+
+
 async def test_oversized_and_truncated_bodies_are_not_forwarded(session):
     async with deployment(services=1) as platform:
         process = platform.gateways[0]
