Fix: messages between gateways with odd values are left out as a whole

What happens, by reading: another gateway sends NaN, infinity or a negative number. NaN for a rate ends in a timer at NaN. NaN for a load is compared in each placement. Rows before the odd one were applied, those behind it were not.

Cause: rows were unpacked and converted while they were applied.

Fix: rows are read before anything is applied, by the checks of `external_values`. A message with an unusable value is left out, with one line (`message_unusable`) and a count (boragespring_link_unusable_messages); the link stays open. Identifiers of callers' requests and traits may be any text.

--- a/src/boragespring/external_values.py
+++ b/src/boragespring/external_values.py
@@ -7,6 +7,7 @@
 
 import ipaddress
 import re
+from typing import Any
 
 __all__ = [
     "INTEGER_MAX",
@@ -15,6 +16,8 @@
     "check_integer",
     "check_name",
     "check_number",
+    "check_row",
+    "check_string",
     "check_text",
     "excerpt",
     "parse_address",
@@ -83,6 +86,20 @@
     raise UnusableValueError(value, f"a number from {low:g} to {high:g}")
 
 
+def check_row(value: object, length: int) -> list[Any]:
+    """Return a list that has a number of elements, whose types are not checked."""
+    if isinstance(value, list) and len(value) == length:
+        return value
+    raise UnusableValueError(value, f"a list of {length} elements")
+
+
+def check_string(value: object) -> str:
+    """Return a text of any characters, such as an identifier of a caller's request."""
+    if isinstance(value, str):
+        return value
+    raise UnusableValueError(value, "a text")
+
+
 def check_text(value: object) -> str:
     """Return a text that can be written to logs, messages and headers."""
     if isinstance(value, str) and _TEXT.fullmatch(value):
--- a/src/boragespring/gateway_peers/crash_sharing.py
+++ b/src/boragespring/gateway_peers/crash_sharing.py
@@ -5,8 +5,13 @@
 from collections.abc import Callable, Iterable, Iterator
 from typing import Any, TypeVar
 
-from boragespring.fleet import ServerProcess
-from boragespring.gateway_peers.messages import ServerCrashes
+from boragespring.external_values import (
+    check_integer,
+    check_row,
+    check_string,
+    check_text,
+)
+from boragespring.gateway_peers.messages import ServerCrashes, read_process
 from boragespring.gateway_peers.network import PeerNetwork
 from boragespring.links import Dispatcher, Link, LinkClosedError
 from boragespring.quarantine import (
@@ -111,11 +116,13 @@
         ]
 
     def _read_crash(self, row: list[Any]) -> Crash:
-        server_id, started_at_ms, service, age_ms, starting, silent, writing = row
+        server_id, started_at_ms, service, age_ms, starting, silent, writing = (
+            check_row(row, 7)
+        )
         return Crash(
-            process=ServerProcess(str(server_id), int(started_at_ms)),
-            service=str(service),
-            at_s=self._clock() - int(age_ms) / 1000,
+            process=read_process(server_id, started_at_ms),
+            service=check_text(service),
+            at_s=self._clock() - check_integer(age_ms) / 1000,
             starting=_read_runs(starting),
             silent=_read_runs(silent),
             writing=_read_runs(writing),
@@ -155,15 +162,12 @@
 
 
 def _read_clearance(row: list[Any]) -> Clearance:
-    service, trait, processes = row
+    service, trait, processes = check_row(row, 3)
     return Clearance(
-        ServiceTrait(str(service), str(trait)),
-        frozenset(
-            ServerProcess(str(server_id), int(started_at_ms))
-            for server_id, started_at_ms in processes
-        ),
+        ServiceTrait(check_text(service), check_string(trait)),
+        frozenset(read_process(*check_row(process, 2)) for process in processes),
     )
 
 
 def _read_runs(rows: Iterable[Iterable[Any]]) -> frozenset[Traits]:
-    return frozenset(frozenset(map(str, traits)) for traits in rows)
+    return frozenset(frozenset(map(check_string, traits)) for traits in rows)
--- a/src/boragespring/gateway_peers/evacuations.py
+++ b/src/boragespring/gateway_peers/evacuations.py
@@ -2,6 +2,13 @@
 
 from collections.abc import Callable, Iterable
 
+from boragespring.external_values import (
+    INTEGER_MAX,
+    check_integer,
+    check_number,
+    check_row,
+    check_string,
+)
 from boragespring.fleet.model import LeavingNotice
 from boragespring.forwarding.evacuation import LeavingRun
 from boragespring.gateway_peers.messages import (
@@ -84,16 +91,7 @@
         return self._has_load(name, message.server_id)
 
     def _handle_runs(self, message: LeavingRuns) -> None:
-        runs = [
-            LeavingRun(
-                run_id=str(run_id),
-                memory_tokens=int(memory_tokens),
-                value=float(value),
-                ends_in_s=int(ends_in_ms) / 1000,
-                failed_attempts=int(attempts),
-            )
-            for run_id, memory_tokens, value, ends_in_ms, attempts in message.runs
-        ]
+        runs = [_read_run(row) for row in message.runs]
         for hook in self.announce_hooks:
             hook(message.server_id, runs)
 
@@ -111,3 +109,14 @@
     def _handle_unreachable(self, message: ServerUnreachable) -> None:
         for hook in self.unreachable_hooks:
             hook(message.server_id)
+
+
+def _read_run(row: object) -> LeavingRun:
+    run_id, memory_tokens, value, ends_in_ms, attempts = check_row(row, 5)
+    return LeavingRun(
+        run_id=check_string(run_id),
+        memory_tokens=check_integer(memory_tokens),
+        value=check_number(value, low=-INTEGER_MAX),
+        ends_in_s=check_integer(ends_in_ms, low=-INTEGER_MAX) / 1000,
+        failed_attempts=check_integer(attempts),
+    )
--- a/src/boragespring/gateway_peers/loads.py
+++ b/src/boragespring/gateway_peers/loads.py
@@ -14,6 +14,12 @@
 from attrs import define, field, frozen
 
 from boragespring.event_loop import sleep_until_tick
+from boragespring.external_values import (
+    check_integer,
+    check_number,
+    check_row,
+    check_text,
+)
 from boragespring.fleet import Fleet
 from boragespring.fleet.model import BackendServer, PeerLoad, ServerLoadTotals
 from boragespring.gateway_peers.messages import GatewayLeaving, GatewayLoads
@@ -318,6 +324,7 @@
 
     def _handle_loads(self, link: Link, message: GatewayLoads) -> None:
         name = link.peer.name
+        loads = dict(map(_read_load, message.loads))
         if message.is_complete:
             self._drop(name)
             self._received_on[name] = link
@@ -326,9 +333,8 @@
             return
         known = self._received.setdefault(name, {})
         self._choose_counted()
-        for server_id, runs, memory_tokens, prefill_tokens in message.loads:
-            load = PeerLoad(int(runs), float(memory_tokens), float(prefill_tokens))
-            self._store(name, known, str(server_id), load)
+        for server_id, load in loads.items():
+            self._store(name, known, server_id, load)
         if self._network.joined_links():
             # Otherwise nobody gets these loads from this gateway.
             self._schedule(self._settings.relay_delay_s)
@@ -370,6 +376,13 @@
             _set_peer_load(server, name, loads.get(server.server_id))
 
 
+def _read_load(row: object) -> tuple[str, PeerLoad]:
+    server_id, runs, memory_tokens, prefill_tokens = check_row(row, 4)
+    return check_text(server_id), PeerLoad(
+        check_integer(runs), check_number(memory_tokens), check_number(prefill_tokens)
+    )
+
+
 def _servers(sent: _SentLoads) -> Iterable[str]:
     return sent.loads
 
--- a/src/boragespring/gateway_peers/messages.py
+++ b/src/boragespring/gateway_peers/messages.py
@@ -2,6 +2,8 @@
 
 from typing import Any
 
+from boragespring.external_values import check_integer, check_text
+from boragespring.fleet import ServerProcess
 from boragespring.links import message
 
 __all__ = [
@@ -21,9 +23,15 @@
     "ServerRate",
     "ServerUnreachable",
     "StoreChanges",
+    "read_process",
 ]
 
 
+def read_process(server_id: object, started_at_ms: object) -> ServerProcess:
+    """Return the process of a server that a row names."""
+    return ServerProcess(check_text(server_id), check_integer(started_at_ms))
+
+
 @message(141)
 class SnapshotAge:
     """Age of the sender's snapshot of the store's content.
--- a/src/boragespring/gateway_peers/observation_sharing.py
+++ b/src/boragespring/gateway_peers/observation_sharing.py
@@ -12,8 +12,9 @@
 from attrs import define, field
 
 from boragespring.event_loop import sleep_until_tick
+from boragespring.external_values import check_integer, check_number, check_row
 from boragespring.fleet import ServerProcess
-from boragespring.gateway_peers.messages import ServerObservations
+from boragespring.gateway_peers.messages import ServerObservations, read_process
 from boragespring.gateway_peers.network import PeerNetwork
 from boragespring.links import Dispatcher, Link, LinkClosedError
 from boragespring.server_pace import WorkSample
@@ -162,17 +163,7 @@
 
     def _handle(self, link: Link, message: ServerObservations) -> None:
         now_s = self._clock()
-        for row in message.rows:
-            server_id, started_at_ms, ended, failed, units, time_ms, percent, age = row
-            process = ServerProcess(str(server_id), int(started_at_ms))
-            observed = _Observed(
-                int(ended),
-                int(failed),
-                float(units),
-                int(time_ms) / 1000,
-                int(percent) / 100,
-                now_s - int(age) / 1000 if percent else float("-inf"),
-            )
+        for process, observed in [_read_row(row, now_s) for row in message.rows]:
             self._apply(process, observed, now_s)
             self._add(link.peer.name, process, observed)
 
@@ -186,3 +177,17 @@
         if observed.slowdown:
             for on_slowdown in self.slowdown_hooks:
                 on_slowdown(process, observed.slowdown, now_s - observed.stated_at_s)
+
+
+def _read_row(row: object, now_s: float) -> tuple[ServerProcess, _Observed]:
+    server_id, started_at_ms, *numbers, percent, age_ms = check_row(row, 8)
+    ended, failed, units, time_ms = map(check_number, numbers)
+    stated_at_s = now_s - check_integer(age_ms) / 1000 if percent else float("-inf")
+    return read_process(server_id, started_at_ms), _Observed(
+        int(ended),
+        int(failed),
+        units,
+        time_ms / 1000,
+        check_number(percent) / 100,
+        stated_at_s,
+    )
--- a/src/boragespring/gateway_peers/rate_sharing.py
+++ b/src/boragespring/gateway_peers/rate_sharing.py
@@ -1,5 +1,6 @@
 """Share the rates that servers name, and the permits for their requests."""
 
+from boragespring.external_values import check_integer, check_number
 from boragespring.fleet import Fleet, ServerProcess
 from boragespring.gateway_peers.messages import (
     PermitReply,
@@ -18,6 +19,9 @@
 
 __all__ = ["RateSharing"]
 
+#: Minimum rate in a query for a permit.
+RATE_MIN_PER_S = 1e-6
+
 
 class RateSharing:
     """Pass rates to all gateways, and queries for permits to the one that answers.
@@ -101,6 +105,7 @@
         return self.issuer.reserve(process, rate_per_s, request.max_wait_ms / 1000)
 
     def _handle_request(self, link: Link, request: PermitRequest) -> None:
+        check_number(request.rate_per_s, low=RATE_MIN_PER_S)
         process = ServerProcess(request.server_id, request.started_at_ms)
         is_from_joined = link.peer.name in self._network.joined_links()
         if is_from_joined and not self._is_issuer(process):
@@ -116,7 +121,8 @@
     def _handle_reply(self, link: Link, reply: PermitReply) -> None:
         if reply.asker == self._network.local_name:
             if self.limiter is not None:
-                reservation = Reservation(reply.is_granted, reply.in_ms / 1000)
+                in_s = check_integer(reply.in_ms) / 1000
+                reservation = Reservation(reply.is_granted, in_s)
                 self.limiter.on_reply(reply.number, reservation)
             return
         joined = self._network.joined_links().get(reply.asker)
@@ -125,10 +131,10 @@
 
     def _handle_rate(self, message: ServerRate) -> None:
         process = ServerProcess(message.server_id, message.started_at_ms)
+        named_per_s = check_number(message.rate_per_s)
         server = self._fleet.find_process(process)
         if server is not None:
-            rate_per_s = message.rate_per_s if message.is_limited else None
-            self._fleet.limit_rate(server, rate_per_s)
+            self._fleet.limit_rate(server, named_per_s if message.is_limited else None)
 
     def _send_rates(self, link: Link) -> None:
         """Send all known rates over a new link."""
--- a/src/boragespring/gateway_peers/store_snapshots.py
+++ b/src/boragespring/gateway_peers/store_snapshots.py
@@ -14,6 +14,12 @@
 
 from boragespring.decisions import DecisionLog
 from boragespring.event_loop import sleep_until_tick
+from boragespring.external_values import (
+    UnusableValueError,
+    check_integer,
+    check_row,
+    check_string,
+)
 from boragespring.gateway_peers.messages import (
     ReadSnapshot,
     SnapshotAge,
@@ -184,16 +190,14 @@
             reply = await newer.link.call(
                 ReadSnapshot(), SnapshotReply, self._settings.call_timeout_s
             )
-        except (LinkClosedError, CallFailedError) as error:
+            items = [_read_item(*check_row(row, 3)) for row in reply.items]
+            # Counted from the request, as the reply's time in transit is unknown.
+            complete_at_s = requested_at_s - check_integer(reply.age_ms) / 1000
+        except (LinkClosedError, CallFailedError, UnusableValueError) as error:
             # "Copy" in the event names stands for the snapshot. This event also covers
-            # timeouts and closed links.
+            # timeouts, closed links and values that cannot be used.
             self._log.state_change("copy_refused", reason=str(error))
             return
-        items = [
-            KeyValue(key, value, 0, revision) for key, value, revision in reply.items
-        ]
-        # Counted from the request, as the reply's time in transit is unknown.
-        complete_at_s = requested_at_s - reply.age_ms / 1000
         self._has_gap = False
         self._follower.apply_peer_snapshot(
             items,
@@ -222,15 +226,8 @@
         )
 
     def _handle_changes(self, _: Link, changes: StoreChanges) -> None:
-        events = tuple(
-            WatchEvent(
-                key,
-                None if value is None else KeyValue(key, value, 0, revision),
-                revision,
-            )
-            for key, value, revision in changes.rows
-        )
-        batch = WatchBatch(changes.revision, events, changes.era)
+        events = tuple(_read_event(*check_row(row, 3)) for row in changes.rows)
+        batch = WatchBatch(check_integer(changes.revision), events, changes.era)
         after_position = StorePosition(changes.era, changes.after_revision)
         self._has_gap |= not self._follower.apply_peer_batch(after_position, batch)
         if batch.position > self._forwarded_position:
@@ -239,7 +236,7 @@
             self._network.forward_to_joined(changes)
 
     def _handle_age(self, link: Link, age: SnapshotAge) -> None:
-        complete_at_s = self._clock() - age.age_ms / 1000
+        complete_at_s = self._clock() - check_integer(age.age_ms) / 1000
         content_position = StorePosition(age.era, age.content_revision)
         self._peer_snapshots[link.peer.name] = _PeerSnapshot(
             link, content_position, complete_at_s
@@ -270,3 +267,14 @@
 
     def _age_ms(self) -> int:
         return round((self._clock() - self._follower.complete_at_s) * 1000)
+
+
+def _read_item(key: object, value: object, revision: object) -> KeyValue:
+    if not isinstance(value, bytes):
+        raise UnusableValueError(value, "bytes")
+    return KeyValue(check_string(key), value, 0, check_integer(revision))
+
+
+def _read_event(key: object, value: object, revision: object) -> WatchEvent:
+    item = None if value is None else _read_item(key, value, revision)
+    return WatchEvent(check_string(key), item, check_integer(revision))
--- a/src/boragespring/links/link.py
+++ b/src/boragespring/links/link.py
@@ -8,6 +8,7 @@
 from absl import logging
 
 from boragespring.event_loop import POLL_ITERATIONS_MAX, sleep_until_tick
+from boragespring.external_values import UnusableValueError
 from boragespring.links.arrivals import HeartbeatArrivals
 from boragespring.links.codec import FrameDecoder, Message, encode
 from boragespring.links.context import LinkContext
@@ -256,6 +257,14 @@
             handler(self, message)
         except LinkProtocolError:
             raise
+        except UnusableValueError as error:
+            self._metrics.unusable_messages.inc()
+            logging.warning(
+                "event=message_unusable peer=%s type=%s reason=%s",
+                self.peer.name,
+                type(message).__name__,
+                error,
+            )
         except Exception:
             # A failed handler must not close the link, because the link also carries
             # unrelated messages.
--- a/src/boragespring/links/tests/test_links.py
+++ b/src/boragespring/links/tests/test_links.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies as st
 from prometheus_client import CollectorRegistry
 
+from boragespring.external_values import check_integer
 from boragespring.links import (
     CallFailedError,
     Dispatcher,
@@ -158,6 +159,23 @@
         assert received == [1, 2] and link.is_up
 
 
+async def test_message_with_an_unusable_value_is_counted_and_left_out():
+    received = []
+
+    def receive(link, ping):
+        received.append(check_integer(ping.number))
+
+    dispatcher = Dispatcher()
+    dispatcher.on(Ping, receive)
+    async with linked_pair(dispatcher) as (dialer, *_):
+        link = await dialer.wait_for_link(5)
+        link.send(Ping(-1))
+        link.send(Ping(2))
+        while not received and link.is_up:
+            await asyncio.sleep(0.01)
+        assert received == [2] and link.is_up
+
+
 async def test_failing_hook_does_not_prevent_other_hooks():
     ran = []
 
--- a/src/boragespring/metrics/links.py
+++ b/src/boragespring/metrics/links.py
@@ -40,6 +40,11 @@
             "Messages whose handler failed.",
             registry=registry,
         )
+        self.unusable_messages = Counter(
+            "boragespring_link_unusable_messages",
+            "Messages left out because of a value that cannot be used.",
+            registry=registry,
+        )
         self.failed_dials = Counter(
             "boragespring_link_failed_dials",
             "Connections that could not be opened.",
