Fix: a text that cannot be encoded no longer fails a message between gateways

What happens, by reading: aiohttp turns bytes of a caller's head that are no UTF-8 into lone surrogates.

Fix: such characters are replaced in messages. The receiver may run an earlier version, so that they cannot be sent as they are.

Evidence: test_text_that_cannot_be_encoded_does_not_fail_a_message failed with UnicodeEncodeError with the line as before, and passes now.

--- a/src/boragespring/links/codec.py
+++ b/src/boragespring/links/codec.py
@@ -146,7 +146,9 @@
     """Encode a message, with the ID of the call that it belongs to, if any."""
     message_type = REGISTRY.type_for_class(type(instance))
     fields = (message_type.code, call_id, *message_type.get_fields(instance))
-    packed: bytes = msgpack.packb(fields)
+    # Texts of callers may contain bytes that are no UTF-8. They must not fail what else
+    # the message says.
+    packed: bytes = msgpack.packb(fields, unicode_errors="replace")
     return packed
 
 
--- a/src/boragespring/links/tests/test_links.py
+++ b/src/boragespring/links/tests/test_links.py
@@ -40,6 +40,11 @@
     number: int
 
 
+@message(9003)
+class Rows:
+    rows: list
+
+
 def identity(name):
     return Identity(PROTOCOL_VERSION, name, "entry", 1, "quito-a")
 
@@ -176,6 +181,12 @@
         assert received == [2] and link.is_up
 
 
+# Guards against a caller's odd byte for which no news of a crash reaches the others.
+def test_text_that_cannot_be_encoded_does_not_fail_a_message():
+    [(decoded, _)] = FrameDecoder().feed(encode(Rows(["a\udcff", 7])))
+    assert decoded == Rows(["a?", 7])
+
+
 async def test_failing_hook_does_not_prevent_other_hooks():
     ran = []
 
