Fix: a configuration with an odd value leaves the one before in force

What callers saw: a split with NaN as a weight gives 500 for each request of the route (`random.choices`). Other values that came through: NaN and infinite times, numbers of 400 digits, texts with line breaks or surrogates; a workspace's name is in a header. A version of 400 digits would have shut out all later ones.

Cause: decoding checked types only.

Fix: numbers are finite and in a range, texts can be written, by the checks of `external_values`. The whole configuration stays out of force, as before for a field of another type: without one of its routes, that route's callers would get 404, which nobody retries. `catalog_unreadable` names the fields (it said "1 invalid field(s)").

--- a/src/boragespring/platform/catalog_codec.py
+++ b/src/boragespring/platform/catalog_codec.py
@@ -1,5 +1,7 @@
 """Decode the operator's configuration into a `Catalog`."""
 
+from typing import Annotated
+
 from attrs import frozen
 
 from boragespring.catalog import (
@@ -12,8 +14,10 @@
     ServiceShare,
     Workspace,
 )
+from boragespring.external_values import INTEGER_MAX, check_text
 from boragespring.json_document import parse_json
-from boragespring.settings import SettingsError, structure
+from boragespring.settings import FieldErrorGroup, Range, SettingsError, structure
+from boragespring.settings.types import Check
 
 __all__ = ["CatalogUnreadableError", "decode_catalog"]
 
@@ -28,72 +32,77 @@
     """The stored configuration cannot be decoded by this version."""
 
 
+_Text = Annotated[str, Check(check_text)]
+_Integer = Annotated[int, Range(-INTEGER_MAX, INTEGER_MAX)]
+_Number = Annotated[float, Range(-INTEGER_MAX, INTEGER_MAX)]
+
+
 @frozen
 class _WireShare:
-    service: str
-    weight: float
+    service: _Text
+    weight: Annotated[float, Range(0.0, INTEGER_MAX)]
 
 
 @frozen
 class _WireRoute:
-    name: str
-    host: str
-    path_prefix: str
+    name: _Text
+    host: _Text
+    path_prefix: _Text
     kind: str
-    timeout_ms: float
-    latency_goal_ms: float = 0.0
-    service: str | None = None
+    timeout_ms: _Number
+    latency_goal_ms: _Number = 0.0
+    service: _Text | None = None
     split: list[_WireShare] | None = None
-    attempts: int = 1
-    priority: int = 5
+    attempts: _Integer = 1
+    priority: _Integer = 5
     public: bool = False
-    gap_target_ms: float = 0.0
+    gap_target_ms: _Number = 0.0
     resumable: bool = False
 
 
 @frozen
 class _WireEngine:
-    slots: int
+    slots: _Integer
     # Capacity of the KV cache, shared by running requests and cached prompts.
-    kv_cache_tokens: int
-    kv_token_bytes: float = 0.0
-    link_mbps: float = 0.0
+    kv_cache_tokens: _Integer
+    kv_token_bytes: _Number = 0.0
+    link_mbps: _Number = 0.0
     moves: bool = False
     backups: bool = False
     # Number of tokens in each event of a stream.
-    stride: int = 1
+    stride: _Integer = 1
     # Time in seconds for which the engine keeps an unused copy of a run.
-    handle_s: float = 5.0
+    handle_s: _Number = 5.0
 
 
 @frozen
 class _WireService:
-    name: str
-    health_path: str = "/health"
-    connection_limit: int = 100
+    name: _Text
+    health_path: _Text = "/health"
+    connection_limit: _Integer = 100
     engine: _WireEngine | None = None
     # Requests a second that a cold server tolerates; 0 for no limit.
-    cold_per_s: float = 0.0
+    cold_per_s: _Number = 0.0
 
 
 @frozen
 class _WireLimits:
-    header_bytes: int = 16384
-    body_bytes: int = 4 * 2**20
-    header_timeout_ms: float = 3000.0
-    idle_timeout_ms: float = 15000.0
+    header_bytes: _Integer = 16384
+    body_bytes: _Integer = 4 * 2**20
+    header_timeout_ms: _Number = 3000.0
+    idle_timeout_ms: _Number = 15000.0
 
 
 @frozen
 class _WireWorkspace:
-    name: str
+    name: _Text
     api_keys: list[str]
-    priority: int | None = None
+    priority: _Integer | None = None
 
 
 @frozen
 class _WireCatalog:
-    version: int
+    version: _Integer
     routes: list[_WireRoute]
     services: list[_WireService]
     limits: _WireLimits = _WireLimits()
@@ -118,12 +127,14 @@
     Raises
     ------
     CatalogUnreadableError
-        When the data is not JSON, or fields are missing or invalid.
+        When the data is not JSON, or fields are missing or cannot be used.
     """
     try:
         document = parse_json(data)
         wire = structure(document, _WireCatalog, "configuration", ignore_unknown=True)
-    except (ValueError, SettingsError) as error:
+    except FieldErrorGroup as errors:
+        raise CatalogUnreadableError(errors.summary()) from errors
+    except ValueError as error:
         raise CatalogUnreadableError(f"configuration: {error}") from error
     return Catalog(
         version=wire.version,
