Fix: a split without any weight is refused as not run instead of failing

What callers saw: 500 for each request of a route all of whose services have the weight 0.

Cause: `random.choices` raises ValueError without a weight.

Fix: such a route has no service now, so that its requests get 503 as not run, as those of a route whose service is not in the configuration. `boragespring check-catalog` names such a route as before.

Evidence: test_odd_split_of_a_route_gives_no_error[weights1-503] on: 500; now passed.

--- a/src/boragespring/forwarding/jobs.py
+++ b/src/boragespring/forwarding/jobs.py
@@ -234,9 +234,7 @@
         workspace: str,
         priority: int | None,
     ) -> Job | Refusal:
-        weights = [share.weight for share in route.shares]
-        name = self._rng.choices(route.shares, weights)[0].service
-        service = catalog.services.get(name)
+        service = catalog.services.get(self._choose_service(route))
         if service is None:
             return self._refuse_retryable(RefusalReason.NO_SERVER)
         rank = route.priority if priority is None else priority
@@ -255,6 +253,13 @@
             catalog_version=catalog.version,
         )
 
+    def _choose_service(self, route: Route) -> str:
+        """Return the name of one of the services of a route; empty if it has none."""
+        weights = [share.weight for share in route.shares]
+        if not any(weights):
+            return ""
+        return self._rng.choices(route.shares, weights)[0].service
+
     def _could_outlive_gateway(
         self, request: CallerRequest, route: Route, deadline_s: float
     ) -> bool:
--- a/src/boragespring/platform/tests/test_odd_catalogs.py
+++ b/src/boragespring/platform/tests/test_odd_catalogs.py
@@ -65,7 +65,9 @@
 
 
 # Guards against a split of a route for which all its requests get 500.
-@pytest.mark.parametrize(("weights", "status"), [((NAN, 1.0), 200), ((0.0, 1.0), 200)])
+@pytest.mark.parametrize(
+    ("weights", "status"), [((NAN, 1.0), 200), ((0.0, 0.0), 503), ((0.0, 1.0), 200)]
+)
 async def test_odd_split_of_a_route_gives_no_error(session, weights, status):
     async with deployment(services=1) as platform:
         process = platform.gateways[0]
