Fix: stored crashes that no message can carry are unreadable

What happens, by reading: a stored crash with a start time of 31 digits is read. The message with all crashes, which each new link gets, raises OverflowError from then on, and the gateway at its other end learns of no crash.

Fix: identifiers, times and traits are checked as those of messages between gateways; the whole value is unreadable then, as before for a missing field (`crashes_unreadable`).

--- a/src/boragespring/external_values.py
+++ b/src/boragespring/external_values.py
@@ -11,7 +11,9 @@
 
 __all__ = [
     "INTEGER_MAX",
+    "PORT_MAX",
     "UnusableValueError",
+    "check_host",
     "check_identifier",
     "check_integer",
     "check_name",
@@ -122,6 +124,13 @@
     raise UnusableValueError(value, allowed)
 
 
+def check_host(value: object) -> str:
+    """Return an IP address or a host name that can be connected to."""
+    if isinstance(value, str) and (_is_host(value) or _is_host(f"[{value}]")):
+        return value
+    raise UnusableValueError(value, "an IP address or a host name")
+
+
 def parse_address(text: object) -> tuple[str, int]:
     """Return the host and the port of an address that can be connected to.
 
--- a/src/boragespring/quarantine/archive.py
+++ b/src/boragespring/quarantine/archive.py
@@ -13,6 +13,7 @@
 
 from boragespring.decisions import DecisionLog
 from boragespring.event_loop import sleep_until_tick
+from boragespring.external_values import check_integer, check_string, check_text
 from boragespring.fleet import ServerProcess
 from boragespring.json_document import parse_json
 from boragespring.quarantine.crashes import Crash
@@ -146,10 +147,14 @@
     now_s = time.monotonic()
     return [
         Crash(
-            process=ServerProcess(str(row["server"]), int(row["started_at_ms"])),
-            service=str(row["service"]),
+            process=ServerProcess(
+                check_text(row["server"]), check_integer(row["started_at_ms"])
+            ),
+            service=check_text(row["service"]),
             at_s=now_s,
-            starting=frozenset(frozenset(map(str, traits)) for traits in row["runs"]),
+            starting=frozenset(
+                frozenset(map(check_string, traits)) for traits in row["runs"]
+            ),
         )
         for row in rows
     ]
--- /dev/null
+++ b/src/boragespring/quarantine/tests/test_archive.py
@@ -0,0 +1,52 @@
+"""Stored crashes that cannot be used."""
+
+import json
+
+import pytest
+
+from boragespring.platform.tests.support import recording_log
+from boragespring.quarantine import (
+    CRASHES_KEY,
+    CrashArchive,
+    CrashArchiveSettings,
+    CrashEvidence,
+    QuarantineSettings,
+    RequestQuarantine,
+)
+from boragespring.store import KeyValue
+
+VALID_ROW = {
+    "server": "i-1",
+    "started_at_ms": 1,
+    "service": "m",
+    "runs": [["request:1"]],
+}
+
+
+# Guards against stored crashes that no message between gateways can carry.
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"started_at_ms": 10**30},
+        {"started_at_ms": -1},
+        {"started_at_ms": 1.5},
+        {"server": "i\ud800"},
+        {"server": 7},
+        {"service": "m\n"},
+        {"runs": [[7]]},
+        {"runs": 7},
+    ],
+    ids=lambda fields: ascii(fields)[:40],
+)
+def test_odd_crash_in_the_store_is_unreadable(fields):
+    log, handler = recording_log()
+    quarantine = RequestQuarantine(
+        CrashEvidence(), QuarantineSettings(), lambda key: False, log
+    )
+    archive = CrashArchive(
+        None, quarantine, lambda key: False, CrashArchiveSettings(), log
+    )
+    value = json.dumps({"crashes": [VALID_ROW, {**VALID_ROW, **fields}]}).encode()
+    archive.on_snapshot([KeyValue(CRASHES_KEY, value, 1, 1)], False)
+    assert handler.records_of("crashes_unreadable")
+    assert not quarantine.evidence.crashes
