Fix: an address that cannot be used no longer ends the task that dials a gateway

What happens: a gateway's entry, or a seed of the settings, has a port out of range or a host that cannot be encoded. `LinkDialer.run` ended with OverflowError or UnicodeError, never retrieved, and nothing dialed that gateway again.

Fix: such an address counts as a failed dial, with one line (`dial_failed`), and is tried again at the usual intervals.

--- a/src/boragespring/links/dialer.py
+++ b/src/boragespring/links/dialer.py
@@ -99,6 +99,11 @@
         except (OSError, TimeoutError):
             self._context.metrics.failed_dials.inc()
             return
+        except (ValueError, OverflowError) as error:
+            # The address itself cannot be used.
+            self._context.metrics.failed_dials.inc()
+            logging.warning("event=dial_failed host=%r reason=%r", self.host, error)
+            return
         link = Link(
             reader,
             writer,
--- a/src/boragespring/links/tests/test_links.py
+++ b/src/boragespring/links/tests/test_links.py
@@ -121,6 +121,20 @@
     return Pong(ping.number + 1)
 
 
+# Guards against an address that ends the task which keeps up a link.
+@pytest.mark.parametrize(
+    ("host", "port"), [("127.0.0.1", 70_000), ("a..b", 9), ("a\ud800", 9)]
+)
+async def test_address_that_cannot_be_used_is_dialed_again(host, port):
+    metrics = LinkMetrics(CollectorRegistry())
+    context = LinkContext(identity("a"), Dispatcher(), SETTINGS, metrics)
+    task = asyncio.create_task(LinkDialer(host, port, context).run())
+    while metrics.counts()["failed_dials"] < 2 and not task.done():
+        await asyncio.sleep(0.01)
+    assert not task.done()
+    task.cancel()
+
+
 async def test_concurrent_calls_get_their_own_replies():
     dispatcher = Dispatcher()
     dispatcher.on_call(Ping, reply_pong)
