Fix: an odd entry of a gateway is left out, and removes no known gateway

What happens: an entry among those of the gateways has a host that is empty or cannot be encoded, a port out of range, NaN for its cores. It was taken, and its gateway dialed. One that could not be parsed closed the links to the gateway known under that key, without a line in the log.

Fix: host, port, cores and names are checked by `external_values`. An unusable entry is left out with `presence_unreadable`; a known gateway stays until its key is removed, as with registrations.

--- a/src/boragespring/gateway_peers/presence.py
+++ b/src/boragespring/gateway_peers/presence.py
@@ -8,6 +8,15 @@
 from attrs import frozen
 
 from boragespring.decisions import DecisionLog
+from boragespring.external_values import (
+    PORT_MAX,
+    check_host,
+    check_integer,
+    check_name,
+    check_number,
+    check_text,
+    excerpt,
+)
 from boragespring.json_document import parse_json
 from boragespring.store import KeyValue, KeyValueStore, StoreError
 from boragespring.store.instances import Instance, InstanceRole
@@ -22,6 +31,8 @@
 __all__ = ["PRESENCE_PREFIX", "Presence", "PresenceSettings"]
 
 PRESENCE_PREFIX = "boragespring/gateways/"
+#: Number of characters of an error that are logged.
+REASON_MAX_CHARACTERS = 300
 
 
 @frozen
@@ -58,7 +69,7 @@
     settings : PresenceSettings
         Lease and delays.
     log : DecisionLog
-        Log for failed writes.
+        Log for failed writes and entries that cannot be used.
     """
 
     def __init__(
@@ -110,8 +121,13 @@
             Whether leases may have expired during an outage of the store.
             Gateways without an entry are then kept, so that links to them stay.
         """
-        found = {item.key: _parse_entry(item) for item in items}
-        known = self._gateways if is_after_outage else {}
+        listed = {item.key for item in items}
+        found = {item.key: self._parse(item) for item in items}
+        known = {
+            key: instance
+            for key, instance in self._gateways.items()
+            if is_after_outage or key in listed
+        }
         self._gateways = {
             **known,
             **{key: instance for key, instance in found.items() if instance},
@@ -120,16 +136,31 @@
 
     def on_change(self, event: WatchEvent) -> None:
         """Apply a new, changed or removed entry."""
-        instance = _parse_entry(event.item) if event.item is not None else None
-        if instance is None:
+        instance = None if event.item is None else self._parse(event.item)
+        if event.item is None:
             self._gateways.pop(event.key, None)
-        else:
+        elif instance is not None:
             self._gateways[event.key] = instance
         self._notify()
 
     def on_confirmed(self, complete_at_s: float) -> None:
         """Ignore contact with the store; only changed entries matter here."""
 
+    def _parse(self, item: KeyValue) -> Instance | None:
+        """Return the gateway that an entry describes; None if it cannot be used.
+
+        A gateway that is known by an earlier entry stays until the key is removed.
+        """
+        try:
+            return _parse_entry(item)
+        except (ValueError, LookupError, TypeError) as error:
+            self._log.state_change(
+                "presence_unreadable",
+                key=excerpt(item.key),
+                reason=repr(error)[:REASON_MAX_CHARACTERS],
+            )
+            return None
+
     def _notify(self) -> None:
         self._notify_gateways(tuple(self._gateways.values()))
 
@@ -168,21 +199,17 @@
             expected = current.mod_revision if current else ABSENT_REVISION
 
 
-def _parse_entry(item: KeyValue) -> Instance | None:
-    """Return the gateway that an entry describes; None for a malformed entry."""
-    try:
-        fields = parse_json(item.value)
-        return Instance(
-            name=item.key.removeprefix(PRESENCE_PREFIX),
-            role=InstanceRole.ENTRY,
-            service="",
-            region=str(fields["region"]),
-            availability_zone=str(fields["availability_zone"]),
-            host=str(fields["host"]),
-            link_port=int(fields["link_port"]),
-            http_port=0,
-            # Gateways of an earlier version do not write this field.
-            cpu_cores=float(fields.get("cpu_cores", 1.0)),
-        )
-    except (ValueError, LookupError, TypeError, OverflowError):
-        return None
+def _parse_entry(item: KeyValue) -> Instance:
+    fields = parse_json(item.value)
+    return Instance(
+        name=check_name(item.key.removeprefix(PRESENCE_PREFIX)),
+        role=InstanceRole.ENTRY,
+        service="",
+        region=check_text(fields["region"]),
+        availability_zone=check_text(fields["availability_zone"]),
+        host=check_host(fields["host"]),
+        link_port=check_integer(fields["link_port"], 1, PORT_MAX),
+        http_port=0,
+        # Gateways of an earlier version do not write this field.
+        cpu_cores=check_number(fields.get("cpu_cores", 1.0)),
+    )
