--- a/src/boragespring/external_values.py
+++ b/src/boragespring/external_values.py
@@ -7,14 +7,19 @@
 
 import ipaddress
 import re
+from typing import Any
 
 __all__ = [
     "INTEGER_MAX",
+    "PORT_MAX",
     "UnusableValueError",
+    "check_host",
     "check_identifier",
     "check_integer",
     "check_name",
     "check_number",
+    "check_row",
+    "check_string",
     "check_text",
     "excerpt",
     "parse_address",
@@ -83,6 +88,20 @@
     raise UnusableValueError(value, f"a number from {low:g} to {high:g}")
 
 
+def check_row(value: object, length: int) -> list[Any]:
+    """Return a list that has a number of elements, whose types are not checked."""
+    if isinstance(value, list) and len(value) == length:
+        return value
+    raise UnusableValueError(value, f"a list of {length} elements")
+
+
+def check_string(value: object) -> str:
+    """Return a text of any characters, such as an identifier of a caller's request."""
+    if isinstance(value, str):
+        return value
+    raise UnusableValueError(value, "a text")
+
+
 def check_text(value: object) -> str:
     """Return a text that can be written to logs, messages and headers."""
     if isinstance(value, str) and _TEXT.fullmatch(value):
@@ -105,6 +124,13 @@
     raise UnusableValueError(value, allowed)
 
 
+def check_host(value: object) -> str:
+    """Return an IP address or a host name that can be connected to."""
+    if isinstance(value, str) and (_is_host(value) or _is_host(f"[{value}]")):
+        return value
+    raise UnusableValueError(value, "an IP address or a host name")
+
+
 def parse_address(text: object) -> tuple[str, int]:
     """Return the host and the port of an address that can be connected to.
 
--- a/src/boragespring/links/tests/test_links.py
+++ b/src/boragespring/links/tests/test_links.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies as st
 from prometheus_client import CollectorRegistry
 
+from boragespring.external_values import check_integer
 from boragespring.links import (
     CallFailedError,
     Dispatcher,
@@ -39,6 +40,11 @@
     number: int
 
 
+@message(9003)
+class Rows:
+    rows: list
+
+
 def identity(name):
     return Identity(PROTOCOL_VERSION, name, "entry", 1, "quito-a")
 
@@ -115,6 +121,20 @@
     return Pong(ping.number + 1)
 
 
+# Guards against an address that ends the task which keeps up a link.
+@pytest.mark.parametrize(
+    ("host", "port"), [("127.0.0.1", 70_000), ("a..b", 9), ("a\ud800", 9)]
+)
+async def test_address_that_cannot_be_used_is_dialed_again(host, port):
+    metrics = LinkMetrics(CollectorRegistry())
+    context = LinkContext(identity("a"), Dispatcher(), SETTINGS, metrics)
+    task = asyncio.create_task(LinkDialer(host, port, context).run())
+    while metrics.counts()["failed_dials"] < 2 and not task.done():
+        await asyncio.sleep(0.01)
+    assert not task.done()
+    task.cancel()
+
+
 async def test_concurrent_calls_get_their_own_replies():
     dispatcher = Dispatcher()
     dispatcher.on_call(Ping, reply_pong)
@@ -158,6 +178,29 @@
         assert received == [1, 2] and link.is_up
 
 
+async def test_message_with_an_unusable_value_is_counted_and_left_out():
+    received = []
+
+    def receive(link, ping):
+        received.append(check_integer(ping.number))
+
+    dispatcher = Dispatcher()
+    dispatcher.on(Ping, receive)
+    async with linked_pair(dispatcher) as (dialer, *_):
+        link = await dialer.wait_for_link(5)
+        link.send(Ping(-1))
+        link.send(Ping(2))
+        while not received and link.is_up:
+            await asyncio.sleep(0.01)
+        assert received == [2] and link.is_up
+
+
+# Guards against a caller's odd byte for which no news of a crash reaches the others.
+def test_text_that_cannot_be_encoded_does_not_fail_a_message():
+    [(decoded, _)] = FrameDecoder().feed(encode(Rows(["a\udcff", 7])))
+    assert decoded == Rows(["a?", 7])
+
+
 async def test_failing_hook_does_not_prevent_other_hooks():
     ran = []
 
