--- a/src/boragespring/composition/gateway.py
+++ b/src/boragespring/composition/gateway.py
@@ -27,6 +27,7 @@
     MoveScheduler,
     MoveSettings,
     PlacementSettings,
+    RequestTracker,
     RequestValidator,
     RequestValidatorSettings,
     RetryBudget,
@@ -88,6 +89,9 @@
     load_sharing = LoadSharing(
         fleet, peers.dispatcher, peers.network, LoadSharingSettings()
     )
+    load_sharing.stopping_hooks.append(
+        lambda name: log.lifecycle("peer_stopping", peer=name)
+    )
     validator = RequestValidator(catalog_holder, _validator_settings(settings.bounds))
     validator.has_other_gateway = load_sharing.has_serving_peer
     retry_budget = RetryBudget(_retry_budget_settings(settings.bounds), peers.count)
@@ -118,8 +122,10 @@
         metrics=metrics,
         notify_loads=load_sharing.schedule_update,
     )
+    context.unanswered.retry_after_s = validator.leaving_retry_after_s
     evacuations = EvacuationSharing(peers.network, load_sharing.has_load)
-    forwarder = _build_forwarder(context, validator, evacuations)
+    tracker = RequestTracker(log, metrics)
+    forwarder = _build_forwarder(context, validator, evacuations, tracker)
     location = GatewayLocation(settings.name, settings.availability_zone)
     watch_rotation = WatchRotation(location, peers.network.reachable_relays)
     store_sync = build_store_sync(
@@ -166,7 +172,14 @@
 
     gateway = Gateway(
         # HTTP server for the requests of the callers.
-        callers=GatewayHttpServer(settings.callers, forwarder, caller_limits, log),
+        callers=GatewayHttpServer(
+            settings.callers,
+            forwarder,
+            caller_limits,
+            tracker,
+            log,
+            context.unanswered,
+        ),
         listeners=[peers.server],
         loops=(
             *store_sync.loops,
@@ -191,10 +204,16 @@
         # Decides readiness by its catalog, and on shutdown refuses requests whose
         # reply could be interrupted.
         validator=validator,
+        tracker=tracker,
         settings=settings,
         log=log,
     )
     _add_gauges(metrics, catalog_holder, fleet, store_sync.snapshot_age_s, peers)
+    metrics.add_gauge(
+        "unusable_registrations",
+        "Entries among the registrations that name no usable server.",
+        lambda: float(store_sync.unusable_registrations()),
+    )
     metrics.add_gauge(
         "rate_limited_servers",
         "Backend servers that take a limited rate of requests.",
@@ -277,6 +296,7 @@
     context: ForwardingContext,
     validator: RequestValidator,
     evacuations: EvacuationSharing,
+    tracker: RequestTracker,
 ) -> Forwarder:
     scheduler = MoveScheduler(context, MoveSettings(), evacuations)
     evacuations.announce_hooks.append(scheduler.on_peer_runs)
@@ -286,6 +306,7 @@
         buffered=BufferedForwarder(context, BufferedSettings()),
         streaming=StreamForwarder(context, scheduler, StreamSettings()),
         context=context,
+        tracker=tracker,
     )
 
 
--- a/src/boragespring/composition/process.py
+++ b/src/boragespring/composition/process.py
@@ -3,13 +3,16 @@
 import asyncio
 import gc
 import signal
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import Protocol
 
 from absl import logging
 
+from boragespring.drain_end import DrainEnd
+
 __all__ = ["Daemon", "run_daemon"]
 
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 EXIT_OK = 0
 EXIT_DRAIN_INTERRUPTED = 1
 
@@ -31,16 +34,23 @@
         """
         ...
 
+    def record_drain_end(self, end: DrainEnd) -> None:
+        """Record why the drain has ended before all work, which `stop` cuts off."""
+        ...
+
     async def stop(self) -> None:
         """Close all ports and connections."""
         ...
 
 
-async def run_daemon(daemon: Daemon, reload: Callable[[], None] | None = None) -> int:
+async def run_daemon(
+    daemon: Daemon,
+    reload: Callable[[], None] | None = None,
+    interrupt_signals: Collection[signal.Signals] = STOP_SIGNALS,
+) -> int:
     """Run a daemon until it is stopped by a signal.
 
-    The first SIGTERM or SIGINT starts the drain, and a second one interrupts
-    it.
+    The first SIGTERM or SIGINT starts the drain.
 
     Parameters
     ----------
@@ -48,6 +58,8 @@
         Daemon to run.
     reload : callable or None
         Function to call on SIGHUP. If None, SIGHUP terminates the process.
+    interrupt_signals : collection of signal.Signals
+        Signals that interrupt the drain; a further one of the others is only logged.
 
     Returns
     -------
@@ -55,40 +67,47 @@
         Exit code of the process: 0 if the drain was completed, 1 if a second
         signal or the timeout interrupted it.
     """
-    first_received, second_received = asyncio.Event(), asyncio.Event()
+    first_received, interrupted = asyncio.Event(), asyncio.Event()
 
-    def on_signal() -> None:
-        (second_received if first_received.is_set() else first_received).set()
+    def on_signal(received: signal.Signals) -> None:
+        if not first_received.is_set():
+            first_received.set()
+        elif received in interrupt_signals:
+            interrupted.set()
+        else:
+            logging.info("event=stop_repeated signal=%s", received.name)
 
     loop = asyncio.get_running_loop()
-    for stop_signal in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(stop_signal, on_signal)
+    for stop_signal in STOP_SIGNALS:
+        loop.add_signal_handler(stop_signal, on_signal, stop_signal)
     if reload is not None:
         loop.add_signal_handler(signal.SIGHUP, reload)
+        # A program may hold the signal back while it starts.
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
     await daemon.start()
     # The objects that exist now live as long as the process. Freezing them keeps
     # the garbage collector from traversing them in each collection.
     gc.freeze()
     await first_received.wait()
     drain_task = asyncio.create_task(daemon.drain())
-    interrupt_task = asyncio.create_task(second_received.wait())
+    interrupt_task = asyncio.create_task(interrupted.wait())
     await asyncio.wait(
         (drain_task, interrupt_task), return_when=asyncio.FIRST_COMPLETED
     )
     interrupt_task.cancel()
-    exit_code = _exit_code(drain_task)
+    drain_end = _drain_end(drain_task)
+    if drain_end is not None:
+        daemon.record_drain_end(drain_end)
     await daemon.stop()
-    return exit_code
+    return EXIT_OK if drain_end is None else EXIT_DRAIN_INTERRUPTED
 
 
-def _exit_code(drain_task: asyncio.Task[None]) -> int:
-    """Return the exit code for the result of a drain; cancel a pending drain."""
+def _drain_end(drain_task: asyncio.Task[None]) -> DrainEnd | None:
+    """Return why a drain has ended early; cancel a pending drain."""
     if not drain_task.done():
         drain_task.cancel()
-        logging.warning("event=drain_ended reason=second_signal")
-        return EXIT_DRAIN_INTERRUPTED
+        return DrainEnd.SECOND_SIGNAL
     if isinstance(drain_task.exception(), TimeoutError):
-        logging.warning("event=drain_ended reason=stop_timeout")
-        return EXIT_DRAIN_INTERRUPTED
+        return DrainEnd.STOP_TIMEOUT
     drain_task.result()
-    return EXIT_OK
+    return None
--- a/src/boragespring/forwarding/__init__.py
+++ b/src/boragespring/forwarding/__init__.py
@@ -40,9 +40,12 @@
 from boragespring.forwarding.move_cost import MoveSettings
 from boragespring.forwarding.move_scheduler import MoveScheduler
 from boragespring.forwarding.placement import PlacementSettings
+from boragespring.forwarding.progress import RequestProgress, RequestStage
+from boragespring.forwarding.request_tracker import OpenRequests, RequestTracker
 from boragespring.forwarding.retry_budget import RetryBudget, RetryBudgetSettings
 from boragespring.forwarding.server_statements import ServerStatement, ServerStatements
 from boragespring.forwarding.streaming import StreamForwarder, StreamSettings
+from boragespring.forwarding.unanswered import UnansweredRequests
 
 __all__ = [
     "Attempt",
@@ -70,6 +73,10 @@
     "ReplyBrokenError",
     "ReplyHead",
     "ReplyLostError",
+    "OpenRequests",
+    "RequestProgress",
+    "RequestStage",
+    "RequestTracker",
     "ResumePoint",
     "RetryBudget",
     "RetryBudgetSettings",
@@ -83,5 +90,6 @@
     "StreamSettings",
     "BufferedForwarder",
     "BufferedSettings",
+    "UnansweredRequests",
     "traits_of",
 ]
--- a/src/boragespring/forwarding/buffered.py
+++ b/src/boragespring/forwarding/buffered.py
@@ -29,6 +29,7 @@
     ServiceCall,
     choose_server,
 )
+from boragespring.forwarding.unframed_end import UnframedEndCheck
 
 __all__ = ["BufferedForwarder", "BufferedReply", "BufferedSettings"]
 
@@ -213,6 +214,7 @@
         self, job: Job, server: BackendServer, progress: _Progress
     ) -> BufferedReply | _NotRun | _ReplyLost:
         progress.excluded.add(server.server_id)
+        job.progress.send(server.server_id)
         now_s = time.monotonic()
         server.runs[job.request_id] = RunLoad(0, 0.0, now_s)
         try:
@@ -228,6 +230,7 @@
         finally:
             self._context.crash_detector.run_ended(server, job.request_id)
             self._context.fleet.remove_run(server, job.request_id)
+        job.progress.take_back()
         self._record_outcome(job, server, outcome, now_s)
         if isinstance(outcome, _NotRun):
             return outcome
@@ -302,10 +305,12 @@
         if head.is_success and not head.is_signed:
             return _ReplyLost("success without a signature")
         body = bytearray()
-        async for chunk in reply.chunks():
-            body += chunk
-            if len(body) > self._settings.body_max_bytes:
-                return _ReplyLost("reply too large to hold")
+        with UnframedEndCheck(self._context, server, head.framing) as end:
+            async for chunk in reply.chunks():
+                body += chunk
+                if len(body) > self._settings.body_max_bytes:
+                    return _ReplyLost("reply too large to hold")
+            await end.verify()
         return BufferedReply(head, bytes(body), server.server_id)
 
     def _attempt_deadline_s(self, job: Job, progress: _Progress, now_s: float) -> float:
--- a/src/boragespring/forwarding/jobs.py
+++ b/src/boragespring/forwarding/jobs.py
@@ -21,6 +21,7 @@
     RefusalReason,
     ResumePoint,
 )
+from boragespring.forwarding.progress import RequestProgress
 from boragespring.quarantine import CrashEvidence, RequestIdentity, Traits
 
 __all__ = ["Job", "RequestValidator", "RequestValidatorSettings", "traits_of"]
@@ -106,6 +107,11 @@
         """Identifier of the request."""
         return self.request.request_id
 
+    @property
+    def progress(self) -> RequestProgress:
+        """Progress of the request."""
+        return self.request.progress
+
     @property
     def shared_prompt(self) -> Traits:
         """Parts of the prompt that other requests may share; empty if none."""
@@ -234,9 +240,7 @@
         workspace: str,
         priority: int | None,
     ) -> Job | Refusal:
-        weights = [share.weight for share in route.shares]
-        name = self._rng.choices(route.shares, weights)[0].service
-        service = catalog.services.get(name)
+        service = catalog.services.get(self._choose_service(route))
         if service is None:
             return self._refuse_retryable(RefusalReason.NO_SERVER)
         rank = route.priority if priority is None else priority
@@ -244,7 +248,7 @@
         if deadline_s <= self._clock():
             return Refusal(RefusalReason.TOO_LATE, was_not_run=True)
         if self._could_outlive_gateway(request, route, deadline_s):
-            return Refusal(RefusalReason.LEAVING, True, self._leaving_retry_after_s())
+            return Refusal(RefusalReason.LEAVING, True, self.leaving_retry_after_s())
         return Job(
             request=request,
             route=route,
@@ -255,6 +259,13 @@
             catalog_version=catalog.version,
         )
 
+    def _choose_service(self, route: Route) -> str:
+        """Return the name of one of the services of a route; empty if it has none."""
+        weights = [share.weight for share in route.shares]
+        if not any(weights):
+            return ""
+        return self._rng.choices(route.shares, weights)[0].service
+
     def _could_outlive_gateway(
         self, request: CallerRequest, route: Route, deadline_s: float
     ) -> bool:
@@ -271,7 +282,7 @@
         events_s = prompt.output_tokens * settings.token_interval_max_s
         return now_s + settings.first_event_max_s + events_s > self.stops_at_s
 
-    def _leaving_retry_after_s(self) -> float:
+    def leaving_retry_after_s(self) -> float:
         """Return the delay in seconds until any gateway accepts a retry.
 
         That is another gateway or, if all are shutting down, this one after its
--- a/src/boragespring/gateway/daemon.py
+++ b/src/boragespring/gateway/daemon.py
@@ -10,8 +10,9 @@
 from attrs import define, field
 
 from boragespring.decisions import DecisionLog
+from boragespring.drain_end import DrainEnd
 from boragespring.event_loop import sleep_until_tick
-from boragespring.forwarding import RequestValidator
+from boragespring.forwarding import RequestTracker, RequestValidator
 from boragespring.settings.gateway import GatewayBounds, GatewaySettings
 
 __all__ = ["CallerServer", "Gateway", "Listener"]
@@ -19,6 +20,9 @@
 #: Time after the stop signal during which the load balancer, which has to notice
 #: the failed readiness check first, still directs callers to this gateway.
 BALANCER_DELAY_S = 3.5
+#: Part of the grace period before whose begin each request must have an answer, or the
+#: first part of one. A process that is slow just then still sends the last answers.
+ANSWER_RESERVE_S = 0.6
 #: Part of the grace period that is reserved for closing ports and connections.
 CLOSE_RESERVE_S = 0.3
 #: Time between two calls of the maintenance functions.
@@ -75,8 +79,8 @@
     leave_hooks : sequence of callable
         Functions that are called at the start of a shutdown.
     end_hooks : sequence of callable
-        Functions that are called at the end of a shutdown, before the connections of
-        callers are closed.
+        Functions that answer all requests that have no answer yet; called close to
+        the end of the grace period, and before the connections are closed.
     status : callable
         Returns the content of the status page.
     close_hooks : sequence of callable
@@ -84,6 +88,8 @@
     validator : RequestValidator
         Validator of requests; the gateway is ready while it has a usable
         catalog.
+    tracker : RequestTracker
+        Tracks the requests that are open.
     settings : GatewaySettings
         Active settings.
     log : DecisionLog
@@ -100,6 +106,7 @@
     status: Callable[[], dict[str, Any]]
     close_hooks: Sequence[Callable[[], Awaitable[None]]]
     validator: RequestValidator
+    tracker: RequestTracker
     settings: GatewaySettings
     log: DecisionLog
     _tasks: list["asyncio.Task[None]"] = field(factory=list)
@@ -151,15 +158,22 @@
             If requests are still running close to the end of the grace period.
         """
         started_s = time.monotonic()
+        grace_s = self.settings.bounds.stop_grace_s
+        answer_s = grace_s - ANSWER_RESERVE_S
         self._is_leaving = True
         self.callers.is_leaving = True
-        self.validator.stop_at(
-            started_s + self.settings.bounds.stop_grace_s - CLOSE_RESERVE_S
-        )
+        self.tracker.begin_stop()
+        self.validator.stop_at(started_s + answer_s)
+        asyncio.get_running_loop().call_later(answer_s, self._end_unanswered)
         for hook in self.leave_hooks:
             hook()
-        self.log.lifecycle("stopping", grace_s=self.settings.bounds.stop_grace_s)
-        async with asyncio.timeout(self.settings.bounds.stop_grace_s - CLOSE_RESERVE_S):
+        self.log.lifecycle(
+            "stopping",
+            grace_s=grace_s,
+            has_other_gateway=self.validator.has_other_gateway(),
+            **attrs.asdict(self.tracker.summarize()),
+        )
+        async with asyncio.timeout(grace_s - CLOSE_RESERVE_S):
             await asyncio.sleep(BALANCER_DELAY_S)
             await self.callers.wait_idle()
         # A request can still arrive on an open connection before the ports are closed,
@@ -167,12 +181,21 @@
         self.validator.stop_at(time.monotonic())
         self.log.lifecycle("drained", took_s=round(time.monotonic() - started_s, 3))
 
+    def record_drain_end(self, end: DrainEnd) -> None:
+        """Log why the drain has ended early, and which requests are open."""
+        self.tracker.begin_end(end.value)
+        self.log.lifecycle(
+            "drain_ended",
+            reason=end.value,
+            **attrs.asdict(self.tracker.summarize()),
+        )
+
     async def stop(self) -> None:
         """Cancel the background tasks and close all ports and resources."""
         for task in self._tasks:
             task.cancel()
-        for end in self.end_hooks:
-            end()
+        self.tracker.begin_end()
+        self._end_unanswered()
         # This waits for a moment, in which the last answers are sent.
         await self.callers.stop()
         for listener in self.listeners:
@@ -181,6 +204,10 @@
             await close()
         self.log.lifecycle("stopped")
 
+    def _end_unanswered(self) -> None:
+        for end in self.end_hooks:
+            end()
+
     async def _supervise(self, loop: Callable[[], Coroutine[None, None, None]]) -> None:
         """Run a background loop, and start it again after an unexpected error.
 
--- a/src/boragespring/platform/emulator/service.py
+++ b/src/boragespring/platform/emulator/service.py
@@ -17,6 +17,7 @@
 from boragespring.platform import names
 from boragespring.platform.emulator.catalog import PLAIN_SERVICE
 from boragespring.platform.emulator.crash_point import CrashingRequests, CrashPoint
+from boragespring.platform.emulator.server_work import ServerWork, end_by_crash
 
 __all__ = ["EmulatedService", "ReceivedRequest", "ServiceFault"]
 
@@ -58,6 +59,17 @@
     OTHER_SERVER = auto()
 
 
+#: Faults with which a server ends a reply itself before it is complete.
+BREAKING_FAULTS = frozenset(
+    (
+        ServiceFault.RESET,
+        ServiceFault.TRUNCATED,
+        ServiceFault.UNFRAMED_RESET,
+        ServiceFault.GARBAGE,
+    )
+)
+
+
 @frozen
 class ReceivedRequest:
     """Request as received by a server; header names are in lower case."""
@@ -123,6 +135,8 @@
         Body of the replies with the fault `ERROR`.
     runs : list of str
         Request IDs of all executions, including cancelled ones.
+    works : list of ServerWork
+        What the server did with each request.
     cancelled : list of str
         Request IDs of the executions that the gateway cancelled by closing the
         connection.
@@ -149,6 +163,7 @@
     cold_remaining_ms: str = ""
     error_body: bytes = b""
     runs: list[str] = field(factory=list)
+    works: list[ServerWork] = field(factory=list)
     cancelled: list[str] = field(factory=list)
     crashing: CrashingRequests | None = None
     has_crashed: bool = False
@@ -174,6 +189,7 @@
     async def crash(self) -> None:
         """Stop listening and close all connections, as the end of a process does."""
         self.has_crashed = True
+        end_by_crash(self.works)
         await self.stop()
         for writer in self._writers:
             writer.close()
@@ -205,7 +221,10 @@
         crash_point = (
             self.crashing.receive(request.body, request_id) if self.crashing else None
         )
+        work = ServerWork(request_id, self.server_id)
+        self.works.append(work)
         if fault is ServiceFault.SHED:
+            work.reject()
             not_run = {names.NOT_RUN: "1", **self._state_headers()}
             if self.retry_after:
                 not_run[names.RETRY_AFTER] = self.retry_after
@@ -217,6 +236,7 @@
             writer.write(_encode_reply(503, request_id, b"", not_run))
             return
         if fault is ServiceFault.OTHER_SERVER:
+            work.reject()
             headers = self._state_headers()
             writer.write(_encode_reply(421, request_id, b"", headers))
             return
@@ -224,16 +244,22 @@
         if crash_point is not None:
             await self._crash_at(crash_point, request_id, writer)
             return
-        if not await self._execute(reader, request_id):
-            return
-        await self._write_reply(fault, request_id, writer)
+        work.resume()
+        try:
+            if await self._execute(reader, request_id):
+                await self._write_reply(fault, request_id, writer)
+                if fault in BREAKING_FAULTS:
+                    work.break_off()
+        finally:
+            work.end()
 
     async def _crash_at(
         self, point: CrashPoint, request_id: str, writer: asyncio.StreamWriter
     ) -> None:
         if point.has_head:
             signed = {names.SIGNATURE: SIGNATURE_VALUE}
-            writer.write(_encode_reply(200, request_id, self.body, signed)[:-4])
+            encode = _encode_unframed_reply if point.is_unframed else _encode_reply
+            writer.write(encode(200, request_id, self.body, signed)[:-4])
             await writer.drain()
         await asyncio.sleep(point.delay_s)
         if self.has_crashed:
@@ -299,13 +325,8 @@
     async def _write_unframed(
         self, fault: ServiceFault, request_id: str, writer: asyncio.StreamWriter
     ) -> None:
-        headers = {
-            names.SIGNATURE: SIGNATURE_VALUE,
-            names.REQUEST_ID: request_id,
-            **self._state_headers(),
-        }
-        head = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
-        writer.write(f"HTTP/1.1 200 OK\r\n{head}\r\n".encode() + self.body)
+        headers = {names.SIGNATURE: SIGNATURE_VALUE, **self._state_headers()}
+        writer.write(_encode_unframed_reply(200, request_id, self.body, headers))
         await writer.drain()
         await asyncio.sleep(0.02)
         if fault is ServiceFault.UNFRAMED_RESET:
@@ -322,11 +343,18 @@
 def _encode_reply(
     status: int, request_id: str, body: bytes, headers: dict[str, str]
 ) -> bytes:
+    framed = {**headers, "Content-Length": str(len(body))}
+    return _encode_unframed_reply(status, request_id, body, framed)
+
+
+def _encode_unframed_reply(
+    status: int, request_id: str, body: bytes, headers: dict[str, str]
+) -> bytes:
+    """Encode a reply with neither a length nor chunks, but for those in the headers."""
     fields = {
         names.SERVER_LOAD: "0,0,6",
         **headers,
         names.REQUEST_ID: request_id,
-        "Content-Length": str(len(body)),
     }
     head = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
     return f"HTTP/1.1 {status} Reason\r\n{head}\r\n".encode() + body
--- a/src/boragespring/platform/http_server.py
+++ b/src/boragespring/platform/http_server.py
@@ -1,7 +1,6 @@
 """HTTP server that passes callers' requests to the forwarder."""
 
 import asyncio
-import time
 from collections.abc import Callable, Iterable
 from typing import Protocol
 
@@ -20,6 +19,9 @@
     PromptShape,
     Refusal,
     RefusalReason,
+    RequestProgress,
+    RequestTracker,
+    UnansweredRequests,
 )
 from boragespring.http.caller_connection import (
     CallerConnection,
@@ -32,8 +34,10 @@
 
 __all__ = ["GatewayHttpServer", "RequestHandler"]
 
-#: Remaining time assumed for a request that does not state it.
+#: Remaining time assumed for a request that does not state it, or no usable one.
 DEFAULT_TIME_REMAINING_S = 60.0
+#: Longest number in a header that is used.
+NUMBER_MAX_DIGITS = 12
 
 
 class RequestHandler(Protocol):
@@ -55,8 +59,12 @@
         Handler of requests that were parsed without errors.
     limits : callable
         Returns the limits on callers that are currently active.
+    tracker : RequestTracker
+        Tracks the requests from their arrival to their end.
     log : DecisionLog
         Log of refused request heads.
+    unanswered : UnansweredRequests
+        Limits the time in which the body of a request arrives.
 
     Attributes
     ----------
@@ -72,9 +80,13 @@
         address: AddressSettings,
         forwarder: RequestHandler,
         limits: Callable[[], CallerLimits],
+        tracker: RequestTracker,
         log: DecisionLog,
+        unanswered: UnansweredRequests,
     ) -> None:
+        self._tracker = tracker
         self._log = log
+        self._unanswered = unanswered
         self._address = address
         self._forwarder = forwarder
         self._limits = limits
@@ -135,17 +147,26 @@
         )
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        progress = self._track(request)
         self.in_progress += 1
         caller = HttpCallerReply(request, self.is_leaving)
         try:
-            parsed = await _parse_request(request, self._limits())
+            parsed = await _parse_request(
+                request, progress, self._limits(), self._unanswered
+            )
             if isinstance(parsed, Refusal):
+                self._tracker.refused(progress, parsed)
                 await caller.refuse(parsed)
             else:
                 await self._forwarder.serve(parsed, caller)
         except ConnectionError:
+            progress.has_caller_left = True
             caller.abort()
+        except Exception as error:
+            self._tracker.failed(progress, error)
+            raise
         finally:
+            self._end_tracking(request, progress)
             self.in_progress -= 1
             self._request_finished.set()
             is_body_read = request.content.is_eof()
@@ -155,21 +176,39 @@
                 request.protocol.on_request_handled()
         return caller.response or web.Response(status=500)
 
+    def _track(self, request: web.BaseRequest) -> RequestProgress:
+        headers = request.headers
+        return self._tracker.open(
+            headers.get(names.REQUEST_ID, ""),
+            _parse_time_remaining(headers.get(names.TIME_REMAINING_MS)),
+        )
+
+    def _end_tracking(
+        self, request: web.BaseRequest, progress: RequestProgress
+    ) -> None:
+        connection = request.protocol
+        if isinstance(connection, CallerConnection) and connection.is_lost:
+            progress.has_caller_left = True
+        self._tracker.interrupted(progress)
+
 
 async def _parse_request(
-    request: web.BaseRequest, limits: CallerLimits
+    request: web.BaseRequest,
+    progress: RequestProgress,
+    limits: CallerLimits,
+    unanswered: UnansweredRequests,
 ) -> CallerRequest | Refusal:
-    arrived_at_s = time.monotonic()
     headers = request.headers
-    remaining_s = _parse_time_remaining(headers.get(names.TIME_REMAINING_MS))
     if head_bytes(request) > limits.header_bytes:
         return Refusal(RefusalReason.HEAD_TOO_LARGE, was_not_run=True)
     try:
-        async with asyncio.timeout(remaining_s):
+        async with unanswered.limit(progress.deadline_s):
             body = await request.read()
     except web.HTTPRequestEntityTooLarge:
         return Refusal(RefusalReason.TOO_LARGE, was_not_run=True)
     except TimeoutError:
+        if unanswered.has_ended:
+            return unanswered.refusal(was_not_run=True)
         return Refusal(RefusalReason.TOO_LATE, was_not_run=True)
     request_id = headers.get(names.REQUEST_ID, "")
     if not request_id or not request.raw_path.startswith("/"):
@@ -182,10 +221,11 @@
         headers=tuple(_end_to_end_headers(headers)),
         body=body,
         credential=headers.get(names.CREDENTIAL, ""),
-        arrived_at_s=arrived_at_s,
-        deadline_s=arrived_at_s + remaining_s,
+        arrived_at_s=progress.arrived_at_s,
+        deadline_s=progress.deadline_s,
         prompt=_parse_prompt(headers),
         last_event_id=headers.get(names.LAST_EVENT_ID, ""),
+        progress=progress,
     )
 
 
@@ -202,29 +242,37 @@
     )
 
 
+def _parse_number(text: str | None) -> int | None:
+    """Return a number that is not negative, or None if the text is no usable one."""
+    digits = (text or "").strip()
+    is_usable = digits.isdecimal() and len(digits) <= NUMBER_MAX_DIGITS
+    return int(digits) if is_usable else None
+
+
 def _parse_time_remaining(text: str | None) -> float:
     """Return the remaining time in seconds from a header in milliseconds."""
-    if text is None or not text.strip().isdecimal():
-        return DEFAULT_TIME_REMAINING_S
-    return int(text) / 1000
+    remaining_ms = _parse_number(text)
+    return DEFAULT_TIME_REMAINING_S if remaining_ms is None else remaining_ms / 1000
 
 
 def _parse_prompt(headers: CIMultiDictProxy[str]) -> PromptShape | None:
     """Return the token counts of a prompt, or None if they are missing or invalid."""
-    counts = headers.get(names.TOKEN_COUNTS, "").split(",")
-    if len(counts) != 2 or not all(count.strip().isdecimal() for count in counts):
+    counts = [
+        _parse_number(text) for text in headers.get(names.TOKEN_COUNTS, "").split(",")
+    ]
+    if len(counts) != 2 or counts[0] is None or counts[1] is None:
         return None
-    length_hint = headers.get(names.OUTPUT_LENGTH_HINT, "").strip()
     return PromptShape(
-        prompt_tokens=int(counts[0]),
-        output_max_tokens=int(counts[1]),
-        output_hint_tokens=int(length_hint) if length_hint.isdecimal() else None,
+        prompt_tokens=counts[0],
+        output_max_tokens=counts[1],
+        output_hint_tokens=_parse_number(headers.get(names.OUTPUT_LENGTH_HINT)),
         parts=tuple(_parse_prompt_parts(headers.get(names.PROMPT_PARTS, ""))),
     )
 
 
 def _parse_prompt_parts(text: str) -> Iterable[PromptPart]:
     for entry in filter(None, text.split(",")):
-        part_id, _, tokens = entry.strip().partition(":")
-        if tokens.isdecimal():
-            yield PromptPart(part_id, int(tokens))
+        part_id, _, count = entry.strip().partition(":")
+        tokens = _parse_number(count)
+        if tokens is not None:
+            yield PromptPart(part_id, tokens)
--- a/src/boragespring/platform/soak/server_faults.py
+++ b/src/boragespring/platform/soak/server_faults.py
@@ -3,7 +3,7 @@
 import asyncio
 import itertools
 import time
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 
 from attrs import define, evolve, field
 
@@ -11,13 +11,13 @@
     CrashPoint,
     EmulatedPlatform,
     EmulatedService,
+    RouteSpec,
     ServiceFault,
 )
 from boragespring.platform.emulator.catalog import (
     FURTHER_SERVICES,
     MODEL_SERVICE,
     PLAIN_SERVICE,
-    STANDARD_ROUTES,
 )
 from boragespring.platform.names import REGISTRATION_PREFIX
 from boragespring.platform.soak.callers import CRASHING_BODY, CRASHING_PART
@@ -84,6 +84,11 @@
     named_rates: list[NamedRate] = field(factory=list)
     drains: list[ZoneDrain] = field(factory=list)
     cold_times: list[ColdTime] = field(factory=list)
+    _has_drained: bool = field(default=False, init=False)
+    _first_routes: Sequence[RouteSpec] = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._first_routes = self.platform.routes
 
     @property
     def handlers(self) -> Mapping[SoakFaultKind, FaultHandler]:
@@ -105,7 +110,7 @@
         }
 
     async def _drain_zone(self, fault: SoakFault) -> None:
-        """Drain a zone with one service, unless it is drained, and restore it."""
+        """Drain a zone with one service and restore it, at most once per run."""
         platform = self.platform
         servers = [
             server
@@ -113,8 +118,9 @@
             if server.service == PLAIN_SERVICE
         ]
         server = servers[fault.choice % len(servers)]
-        if self.drains or server.has_crashed:
+        if self._has_drained or server.has_crashed:
             return
+        self._has_drained = True
         self._register(server, zone=DRAINED_ZONE)
         platform.drain_zone(DRAINED_ZONE)
         began_at_s = time.monotonic()
@@ -148,7 +154,7 @@
         is_moving = any(
             server.service in FURTHER_SERVICES for server in platform.services.values()
         )
-        if is_moving or platform.routes is not STANDARD_ROUTES:
+        if is_moving or platform.routes is not self._first_routes:
             return
         for name in FURTHER_SERVICES:
             for number in range(FURTHER_SERVERS):
