--- a/src/boragespring/platform/soak/tests/test_soak.py
+++ b/src/boragespring/platform/soak/tests/test_soak.py
@@ -31,8 +31,8 @@
 #: two moves of routes begin within seconds while one of the new servers names a rate.
 SEEDS = (22, 44, 35, 6027, 91008, 100007, 200003, 200029, 300001, 400036, 402038)
 #: Gateways stop in series, read their settings again, and engines leave, while callers
-#: keep their connections.
-STOP_SEEDS = (510_000,)
+#: keep their connections. A second SIGTERM comes 3.5 s after the first.
+STOP_SEEDS = (510_000, 600_001)
 NEVER_S = float("inf")
 
 
