--- a/src/boragespring/platform/soak/shape.py
+++ b/src/boragespring/platform/soak/shape.py
@@ -7,11 +7,12 @@
 from boragespring.platform.emulator import EngineSpec, RouteSpec
 from boragespring.platform.emulator.catalog import STANDARD_ROUTES
 
-__all__ = ["LARGE_SEED_MIN", "STOP_SEED_MIN", "RunShape", "shape_of"]
+__all__ = ["LARGE_SEEDS", "STOP_SEED_MIN", "RunShape", "shape_of"]
 
-#: Lowest seeds of the runs with planned stops and kept connections, and of those that
-#: have many gateways besides.
-STOP_SEED_MIN, LARGE_SEED_MIN = 500_000, 900_000
+#: Lowest seed of the runs with planned stops and kept connections.
+STOP_SEED_MIN = 500_000
+#: Seeds of such runs that have many gateways.
+LARGE_SEEDS = range(550_000, 600_000)
 STREAM_TIMEOUT_MS, CALL_TIMEOUT_MS = 40_000, 12_000
 #: Route timeout in seconds of each kind of request in runs with planned stops.
 SLOW_ROUTES = tuple(
@@ -71,7 +72,7 @@
     if seed < STOP_SEED_MIN:
         return RunShape()
     rng = random.Random(f"shape {seed}")
-    is_large = seed >= LARGE_SEED_MIN
+    is_large = seed in LARGE_SEEDS
     engine_spec = EngineSpec(
         slots=rng.choice((6, 12, 24)),
         # With little memory, runs are preempted in the middle of their streams.
