--- a/src/boragespring/platform/soak/raw_connection.py
+++ b/src/boragespring/platform/soak/raw_connection.py
@@ -9,6 +9,7 @@
 
 from attrs import define, frozen
 
+from boragespring.platform import names
 from boragespring.platform.soak.callers import CallRecord
 
 __all__ = ["RawConnection", "RequestPiece", "encode_head"]
@@ -105,7 +106,7 @@
         fields = (line.partition(":") for line in lines)
         record.headers = {name.title(): value.strip() for name, _, value in fields}
         record.status = int(status_line.split(" ")[1])
-        record.reply_request_id = record.headers.get("Boragespring-Attempt-Id", "")
+        record.reply_request_id = record.headers.get(names.REQUEST_ID, "")
         if "chunked" in record.headers.get("Transfer-Encoding", ""):
             await self._receive_chunks(record)
         else:
--- a/src/boragespring/platform/soak/stop_faults.py
+++ b/src/boragespring/platform/soak/stop_faults.py
@@ -28,6 +28,9 @@
 #: Time between two changes beside the stops, and their number.
 CHANGE_INTERVAL_MIN_S, CHANGE_INTERVAL_MAX_S = 0.5, 2.0
 CHANGES = 8
+#: The same for crashes beside the stops.
+CRASH_INTERVAL_MIN_S, CRASH_INTERVAL_MAX_S = 1.0, 5.0
+CRASHES = 4
 RECLAIM_NOTICE_S = 1.5
 UNREGISTER_DELAY_S = 1.0
 
@@ -159,8 +162,8 @@
         """Let engines crash one after another; new ones take their places."""
         rng = random.Random(fault.choice)
         platform = self.deployment.platform
-        for _ in range(CHANGES // 2):
-            await asyncio.sleep(2 * rng.uniform(*(CHANGE_INTERVAL_MIN_S, DOWN_MAX_S)))
+        for _ in range(CRASHES):
+            await asyncio.sleep(rng.uniform(CRASH_INTERVAL_MIN_S, CRASH_INTERVAL_MAX_S))
             name = self._running_engine(rng)
             await self._add_engine()
             if name:
--- a/src/boragespring/platform/soak/stop_history.py
+++ b/src/boragespring/platform/soak/stop_history.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Mapping, Sequence
 
-from attrs import frozen
+from attrs import field, frozen
 
 from boragespring.platform.emulator.server_work import ServerWork
 from boragespring.platform.soak.callers import RequestKind
@@ -47,4 +47,4 @@
     signals: Sequence[SentSignal] = ()
     changes: Sequence[Span] = ()
     disturbances: Sequence[Span] = ()
-    timeouts_s: Mapping[RequestKind, float] = {}
+    timeouts_s: Mapping[RequestKind, float] = field(factory=dict)
