--- a/src/boragespring/platform/soak/callers.py
+++ b/src/boragespring/platform/soak/callers.py
@@ -235,13 +235,16 @@
         try:
             async with asyncio.timeout(timeout_s):
                 await self._send_request(session, record, remaining_s)
-        except (aiohttp.ClientError, OSError) as error:
+        except aiohttp.ClientError as error:
             record.is_ended = True
             record.is_connection_refused = isinstance(
                 error, aiohttp.ClientConnectorError
             )
         except TimeoutError:
+            # This is an OSError too.
             record.is_ended = record.disconnects_early
+        except OSError:
+            record.is_ended = True
         record.ended_at_s = time.monotonic()
 
     async def _send_request(
--- a/src/boragespring/platform/soak/kept_callers.py
+++ b/src/boragespring/platform/soak/kept_callers.py
@@ -97,11 +97,12 @@
                 ):
                     await connection.exchange(self._pieces(record), record)
                 record.is_ended = True
+            except TimeoutError:
+                # This is an OSError too.
+                return
             except (OSError, EOFError):
                 record.is_ended = True
                 return
-            except TimeoutError:
-                return
             finally:
                 record.ended_at_s = time.monotonic()
             was_served = record.status == HTTPStatus.OK
