The stop of a gateway is known on a link that opens during it

What callers saw: where all gateways stop, a stopping one asked refused callers to come back after 0.05 s, to others that refused them as well, instead of after the restart; and it did not take streams that only it could have served. Callers have one retry.

Cause: a new link takes back what is known of the peer's stop, as it usually comes from a process that has started again. A gateway that stops accepts new links as well, from those that replace a relay which has ended.

Change: a gateway that stops says so on each link that opens.

The new test fails before (has_serving_peer is True after the link was opened again) and passes now; gateway_peers/, composition/ and test_planned_stop.py: 196 passed, 4 xpassed.

--- a/src/boragespring/composition/gateway.py
+++ b/src/boragespring/composition/gateway.py
@@ -47,6 +47,7 @@
     LoadSharingSettings,
     ObservationSharing,
     RateSharing,
+    StopSharing,
     WatchRotation,
 )
 from boragespring.http.admin import HttpServer, admin_routes
@@ -89,11 +90,12 @@
     load_sharing = LoadSharing(
         fleet, peers.dispatcher, peers.network, LoadSharingSettings()
     )
-    load_sharing.stopping_hooks.append(
+    stop_sharing = StopSharing(peers.dispatcher, peers.network)
+    stop_sharing.stopping_hooks.append(
         lambda name: log.lifecycle("peer_stopping", peer=name)
     )
     validator = RequestValidator(catalog_holder, _validator_settings(settings.bounds))
-    validator.has_other_gateway = load_sharing.has_serving_peer
+    validator.has_other_gateway = stop_sharing.has_serving_peer
     retry_budget = RetryBudget(_retry_budget_settings(settings.bounds), peers.count)
     crash_detector = CrashDetector(calls, CrashDetectorSettings(), log)
     quarantine = _build_quarantine(crash_detector, peers, log)
@@ -194,10 +196,11 @@
             quarantine.evidence.expire,
             lambda: rates.retain(fleet.servers),
             load_sharing.expire_outdated,
+            stop_sharing.expire_outdated,
             peers.network.refresh,
         ),
         reload_hooks=(apply_bounds,),
-        leave_hooks=(load_sharing.leave,),
+        leave_hooks=(stop_sharing.leave,),
         end_hooks=(context.unanswered.end,),
         status=partial(_status, catalog_holder, fleet),
         close_hooks=(*store_sync.close_hooks, crash_detector.close, calls.close),
--- a/src/boragespring/gateway_peers/__init__.py
+++ b/src/boragespring/gateway_peers/__init__.py
@@ -10,6 +10,7 @@
 from boragespring.gateway_peers.observation_sharing import ObservationSharing
 from boragespring.gateway_peers.presence import Presence, PresenceSettings
 from boragespring.gateway_peers.rate_sharing import RateSharing
+from boragespring.gateway_peers.stop_sharing import StopSharing
 from boragespring.gateway_peers.store_snapshots import (
     SnapshotSharing,
     SnapshotSharingSettings,
@@ -34,6 +35,7 @@
     "RateSharing",
     "SnapshotSharing",
     "SnapshotSharingSettings",
+    "StopSharing",
     "WatchRotation",
     "WatchRotationSettings",
 ]
--- a/src/boragespring/gateway_peers/loads.py
+++ b/src/boragespring/gateway_peers/loads.py
@@ -22,7 +22,7 @@
 )
 from boragespring.fleet import Fleet
 from boragespring.fleet.model import BackendServer, PeerLoad, ServerLoadTotals
-from boragespring.gateway_peers.messages import GatewayLeaving, GatewayLoads
+from boragespring.gateway_peers.messages import GatewayLoads
 from boragespring.gateway_peers.network import PeerNetwork
 from boragespring.links import Dispatcher, Link, LinkClosedError
 
@@ -70,8 +70,6 @@
     lost_link_grace_s : float
         Time in seconds for which the loads of a peer still count after its link was
         lost. It is short, because those of a failed relay soon come by way of another.
-    leaving_ttl_s : float
-        Time in seconds for which a gateway that is stopping is remembered.
     update_delay_s : float
         Delay in seconds of an update after a run is placed; placements within it are
         sent together.
@@ -83,7 +81,6 @@
     """
 
     lost_link_grace_s: float = 0.5
-    leaving_ttl_s: float = 15.0
     update_delay_s: float = 0.01
     relay_delay_s: float = 0.05
     update_interval_s: float = 0.15
@@ -118,8 +115,6 @@
         self._network = network
         self._settings = settings
         self._clock = clock
-        #: Called with the name of a peer that begins to stop.
-        self.stopping_hooks: list[Callable[[str], None]] = []
         #: Loads received from each peer, by server.
         self._received: dict[str, dict[str, PeerLoad]] = {}
         #: Link on which each peer sent all its loads. They count as long as it is open.
@@ -140,7 +135,6 @@
         self._update_due_at_s = float("inf")
         self._update: asyncio.TimerHandle | None = None
         dispatcher.on(GatewayLoads, self._handle_loads)
-        network.on_broadcast(GatewayLeaving, self._handle_leaving)
         network.change_hooks.append(self._send_changes)
         dispatcher.on_down(self._on_down)
         fleet.join_hooks.append(self._on_server_joined)
@@ -151,20 +145,6 @@
             await sleep_until_tick(self._settings.update_interval_s)
             self._send_changes()
 
-    def has_serving_peer(self) -> bool:
-        """Return whether at least one other gateway is not stopping.
-
-        Gateways without a link count too, as long as some gateway is linked.
-        """
-        if not self._network.linked_names():
-            return False
-        names = {*self._network.linked_names(), *self._network.known_names()}
-        return bool(names - self._network.leaving.keys())
-
-    def leave(self) -> None:
-        """Inform the other gateways at once that this one is stopping."""
-        self._network.broadcast(GatewayLeaving(self._network.local_name))
-
     def schedule_update(self) -> None:
         """Send the current loads soon, without waiting for the next interval."""
         self._schedule(self._settings.update_delay_s)
@@ -175,10 +155,6 @@
         due = [name for name, drop_at_s in self._drop_at_s.items() if drop_at_s < now_s]
         for name in due:
             self._drop(name)
-        leaving = self._network.leaving
-        for name, left_at_s in list(leaving.items()):
-            if left_at_s < now_s - self._settings.leaving_ttl_s:
-                del leaving[name]
 
     def has_load(self, name: str, server_id: str) -> bool:
         """Return whether a peer reported requests on a server, or may have some."""
@@ -355,11 +331,6 @@
             _set_peer_load(server, name, known.get(server_id))
         self._changed.add(server_id)
 
-    def _handle_leaving(self, message: GatewayLeaving) -> None:
-        self._network.leaving[message.name] = self._clock()
-        for hook in self.stopping_hooks:
-            hook(message.name)
-
     def _on_down(self, link: Link) -> None:
         name = link.peer.name
         if self._received_on.get(name) is link:
--- a/src/boragespring/gateway_peers/tests/peer_fleet.py
+++ b/src/boragespring/gateway_peers/tests/peer_fleet.py
@@ -19,6 +19,7 @@
     PeerNetwork,
     PeerNetworkSettings,
     RateSharing,
+    StopSharing,
 )
 from boragespring.links import Dispatcher, LinkClosedError
 from boragespring.outliers import OutlierDetector, OutlierSettings
@@ -167,6 +168,7 @@
         self.loads = LoadSharing(
             self.fleet, self.dispatcher, self.network, LoadSharingSettings(), clock
         )
+        self.stops = StopSharing(self.dispatcher, self.network, clock)
         self.evacuations = EvacuationSharing(self.network, self.loads.has_load)
         self.evacuations.leaving_hooks.append(self._count_leaving)
         sharing = RateSharing(self.fleet, self.dispatcher, self.network)
@@ -212,6 +214,7 @@
         while True:
             await asyncio.sleep(REFRESH_S)
             self.loads.expire_outdated()
+            self.stops.expire_outdated()
             self.outliers.evaluate()
             self.network.refresh()
 
--- a/src/boragespring/gateway_peers/tests/test_network.py
+++ b/src/boragespring/gateway_peers/tests/test_network.py
@@ -187,7 +187,7 @@
         fleet = PeerFleet(100, ZONES, SERVERS)
         await asyncio.sleep(1.0)
         relay = next(g for g in fleet.gateways.values() if g.network.joined_links())
-        relay.loads.leave()
+        relay.stops.leave()
         await asyncio.sleep(2 * REFRESH_S)
         assert not relay.network.joined_links()
         place_randomly(fleet, 100, 6)
@@ -197,6 +197,26 @@
     play(scenario)
 
 
+# Guards against callers that are sent to a gateway that stops as well: a new link took
+# back what was known of its stop.
+def test_stop_of_a_gateway_is_known_on_a_link_that_opens_during_it():
+    async def scenario():
+        fleet = PeerFleet(2, 1, 1)
+        await asyncio.sleep(1.0)
+        stopping, other = fleet.gateways.values()
+        stopping.stops.leave()
+        await asyncio.sleep(SPREAD_S)
+        assert not other.stops.has_serving_peer()
+        for link in other.network.links():
+            link.close()
+            link.other.close()
+        await asyncio.sleep(1.0)
+        assert other.network.links()
+        assert not other.stops.has_serving_peer()
+
+    play(scenario)
+
+
 def test_unreachable_relay_is_replaced_by_the_next_gateway_of_its_zone():
     async def scenario():
         fleet = PeerFleet(9, 1, 1)
