No further signal ends a process that is about to exit

Cause: the event loop gives signals their default action back as it closes.

Change: `run_daemon` ignores the signals that it handled before it returns.

Evidence: test_signals_do_not_end_a_process_that_is_about_to_exit fails without the change (signals had their default handlers) and passes with it.

--- a/src/boragespring/composition/process.py
+++ b/src/boragespring/composition/process.py
@@ -99,9 +99,22 @@
     if drain_end is not None:
         daemon.record_drain_end(drain_end)
     await daemon.stop()
+    _ignore_signals()
     return EXIT_OK if drain_end is None else EXIT_DRAIN_INTERRUPTED
 
 
+def _ignore_signals() -> None:
+    """Let no further signal end a process that is about to exit.
+
+    The event loop resets signals to their default action as it closes, and the process
+    then still writes its last log lines.
+    """
+    loop = asyncio.get_running_loop()
+    for number in (*STOP_SIGNALS, signal.SIGHUP):
+        loop.remove_signal_handler(number)
+        signal.signal(number, signal.SIG_IGN)
+
+
 def _drain_end(drain_task: asyncio.Task[None]) -> DrainEnd | None:
     """Return why a drain has ended early; cancel a pending drain."""
     if not drain_task.done():
--- a/src/boragespring/composition/tests/test_process.py
+++ b/src/boragespring/composition/tests/test_process.py
@@ -9,6 +9,16 @@
 
 from boragespring.composition.process import run_daemon
 
+SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+
+
+@pytest.fixture(autouse=True)
+def restored_signals():
+    before = {number: signal.getsignal(number) for number in SIGNALS}
+    yield
+    for number, handler in before.items():
+        signal.signal(number, handler)
+
 
 @define
 class DrainingDaemon:
@@ -64,3 +74,9 @@
 )
 async def test_interrupt_ends_a_drain(signals, options):
     assert await send_while_draining(signals, **options) == (True, 1)
+
+
+# Guards against a process that a further signal ends while it writes its last log lines.
+async def test_signals_do_not_end_a_process_that_is_about_to_exit():
+    assert await send_while_draining(()) == (False, 0)
+    assert {signal.getsignal(number) for number in SIGNALS} == {signal.SIG_IGN}
