Let an ejected server return only once its trials show that it is sound

Callers kept getting failures from a server that fails half of its requests: ejected in time, it was back three seconds later, and got its share until it was ejected again.

Cause: five outcomes of trials let a server return unless clearly more than expected had failed. Of a server that fails half, five or six trials often hold only two failures, and the first verdict counted.

A server returns now once its trials are e^2.5 times likelier for a sound server than for one that fails. If that is not reached when the trials end, it goes by which is likelier; a server that got fewer than five trials returns as before.

--- a/src/boragespring/outliers/detector.py
+++ b/src/boragespring/outliers/detector.py
@@ -17,6 +17,7 @@
     FailureTest,
     OutcomeCounts,
     Outcomes,
+    failure_evidence,
     improbability,
     pooled_failed_share,
 )
@@ -55,14 +56,18 @@
     trial_interval_s : float
         Time in seconds between two trials of a server, over all gateways.
     trials_min : float
-        Number of outcomes of trials by which a server is judged.
+        Number of outcomes of trials below which a server returns at the end of its
+        trials, whatever they show.
+    trial_soundness_min : float
+        Logarithm of how much likelier the outcomes of trials must be for a sound server
+        than for one that fails, before it returns.
     trial_improbability_min : float
         The same as `improbability_min`, for ejecting a server again after its trials.
     trial_excess_min : float
         Share of failed trials beyond the expected ones from which on it is ejected.
     trial_max_s : float
-        Time in seconds after which a server returns that gets no trials, as no request
-        may be repeated.
+        Time in seconds after which trials end, also for a server that gets none, as no
+        request may be repeated.
     return_s : float
         Time in seconds in which a server that returns gets back its full share.
     """
@@ -77,6 +82,7 @@
     ejection_max_s: float = 8.0
     trial_interval_s: float = 0.25
     trials_min: float = 5.0
+    trial_soundness_min: float = 2.5
     trial_improbability_min: float = 5.0
     trial_excess_min: float = 0.3
     trial_max_s: float = 6.0
@@ -303,8 +309,17 @@
         if is_bad and doubt >= settings.trial_improbability_min:
             self._eject(each, baseline)
             return
-        is_sound = seen.ended >= settings.trials_min and not is_bad
-        if is_sound or self._clock() >= standing.phase_ends_s:
+        evidence = failure_evidence(seen, baseline.failed_share, settings.excess)
+        if evidence <= -settings.trial_soundness_min:
+            self._readmit(each)
+        elif self._clock() >= standing.phase_ends_s:
+            self._end_trials(each, baseline, evidence)
+
+    def _end_trials(self, each: _Judged, baseline: _Baseline, evidence: float) -> None:
+        """Decide on a server whose trials have shown neither that it fails nor not."""
+        if each.seen.ended >= self._settings.trials_min and evidence > 0:
+            self._eject(each, baseline)
+        else:
             self._readmit(each)
 
     def _eject(self, each: _Judged, baseline: _Baseline) -> None:
--- a/src/boragespring/outliers/evidence.py
+++ b/src/boragespring/outliers/evidence.py
@@ -9,6 +9,7 @@
     "FailureTest",
     "OutcomeCounts",
     "Outcomes",
+    "failure_evidence",
     "improbability",
     "pooled_failed_share",
 ]
@@ -99,15 +100,35 @@
 
     def add(self, ended: int, failed: int) -> None:
         """Add outcomes that arrive together."""
-        sound = self.expected_share
-        failing = min(FAILED_SHARE_MAX, sound + self.excess)
-        if failing <= sound:
-            return
-        change = failed * math.log(failing / sound)
-        change += (ended - failed) * math.log((1 - failing) / (1 - sound))
+        change = failure_evidence(
+            Outcomes(ended, failed), self.expected_share, self.excess
+        )
         self.score = min(self.score_max, max(0.0, self.score + change))
 
 
+def failure_evidence(outcomes: Outcomes, sound_share: float, excess: float) -> float:
+    """Return how much likelier outcomes are if their server fails than if it is sound.
+
+    It is the logarithm of the ratio of both probabilities: above 0 for a server that
+    fails, below 0 for a sound one.
+
+    Parameters
+    ----------
+    outcomes : Outcomes
+        Requests of one server.
+    sound_share : float
+        Share of failures of sound servers.
+    excess : float
+        Share of failures of a server that fails, beyond that.
+    """
+    failing_share = min(FAILED_SHARE_MAX, sound_share + excess)
+    if failing_share <= sound_share:
+        return 0.0
+    evidence = outcomes.failed * math.log(failing_share / sound_share)
+    passed = outcomes.ended - outcomes.failed
+    return evidence + passed * math.log((1 - failing_share) / (1 - sound_share))
+
+
 def pooled_failed_share(outcomes: Iterable[Outcomes]) -> float:
     """Return the share of failures over several servers, not under a minimum.
 
