A stopping gateway refuses a late request by its head

Cause: requests were validated once their body was there.

Change: while a gateway stops, it validates a request when its head has arrived. What its deadline, route or key does not allow is refused then, as not run.

Evidence: test_stopping_gateway_does_not_wait_for_the_body_of_a_late_request fails before (no answer within 0.5 s) and passes now; test_planned_stop, test_caller_limits and test_forwarding_buffered: 65 passed, 1 xpassed.

--- a/src/boragespring/composition/tests/test_process.py
+++ b/src/boragespring/composition/tests/test_process.py
@@ -76,7 +76,7 @@
     assert await send_while_draining(signals, **options) == (True, 1)
 
 
-# Guards against a process that a further signal ends while it writes its last log lines.
+# Guards against a process that a signal ends while it writes its last log lines.
 async def test_signals_do_not_end_a_process_that_is_about_to_exit():
     assert await send_while_draining(()) == (False, 0)
     assert {signal.getsignal(number) for number in SIGNALS} == {signal.SIG_IGN}
--- a/src/boragespring/forwarding/forwarder.py
+++ b/src/boragespring/forwarding/forwarder.py
@@ -37,6 +37,17 @@
     context: ForwardingContext
     tracker: RequestTracker
 
+    def refuse_early(self, request: CallerRequest) -> Refusal | None:
+        """Return the refusal of a request whose body need not be read.
+
+        While this gateway stops, waiting for a body would only delay both the caller,
+        whom another gateway can serve, and the stop.
+        """
+        if self.validator.stops_at_s is None:
+            return None
+        job = self.validator.validate(request)
+        return job if isinstance(job, Refusal) else None
+
     async def serve(self, request: CallerRequest, caller: CallerReply) -> None:
         """Forward a request and send the reply or refusal to the caller."""
         job = self.validator.validate(request)
--- a/src/boragespring/platform/http_server.py
+++ b/src/boragespring/platform/http_server.py
@@ -8,6 +8,7 @@
 from aiohttp.abc import AbstractStreamWriter
 from aiohttp.http_parser import RawRequestMessage
 from aiohttp.streams import StreamReader
+from attrs import evolve
 from multidict import CIMultiDictProxy
 
 from boragespring.catalog import CallerLimits
@@ -47,6 +48,10 @@
         """Handle a request and send its final reply."""
         ...
 
+    def refuse_early(self, request: CallerRequest) -> Refusal | None:
+        """Return the refusal of a request whose body need not be read."""
+        ...
+
 
 class GatewayHttpServer:
     """HTTP server for callers.
@@ -151,9 +156,7 @@
         self.in_progress += 1
         caller = HttpCallerReply(request, self.is_leaving)
         try:
-            parsed = await _parse_request(
-                request, progress, self._limits(), self._unanswered
-            )
+            parsed = await self._parse(request, progress)
             if isinstance(parsed, Refusal):
                 self._tracker.refused(progress, parsed)
                 await caller.refuse(parsed)
@@ -176,6 +179,31 @@
                 request.protocol.on_request_handled()
         return caller.response or web.Response(status=500)
 
+    async def _parse(
+        self, request: web.BaseRequest, progress: RequestProgress
+    ) -> CallerRequest | Refusal:
+        head = _parse_head(request, progress, self._limits())
+        if isinstance(head, Refusal):
+            return head
+        refusal = self._forwarder.refuse_early(head)
+        if refusal is not None:
+            return refusal
+        body = await self._read_body(request, progress)
+        return body if isinstance(body, Refusal) else evolve(head, body=body)
+
+    async def _read_body(
+        self, request: web.BaseRequest, progress: RequestProgress
+    ) -> bytes | Refusal:
+        try:
+            async with self._unanswered.limit(progress.deadline_s):
+                return await request.read()
+        except web.HTTPRequestEntityTooLarge:
+            return Refusal(RefusalReason.TOO_LARGE, was_not_run=True)
+        except TimeoutError:
+            if self._unanswered.has_ended:
+                return self._unanswered.refusal(was_not_run=True)
+            return Refusal(RefusalReason.TOO_LATE, was_not_run=True)
+
     def _track(self, request: web.BaseRequest) -> RequestProgress:
         headers = request.headers
         return self._tracker.open(
@@ -192,24 +220,13 @@
         self._tracker.interrupted(progress)
 
 
-async def _parse_request(
-    request: web.BaseRequest,
-    progress: RequestProgress,
-    limits: CallerLimits,
-    unanswered: UnansweredRequests,
+def _parse_head(
+    request: web.BaseRequest, progress: RequestProgress, limits: CallerLimits
 ) -> CallerRequest | Refusal:
+    """Return a request without its body."""
     headers = request.headers
     if head_bytes(request) > limits.header_bytes:
         return Refusal(RefusalReason.HEAD_TOO_LARGE, was_not_run=True)
-    try:
-        async with unanswered.limit(progress.deadline_s):
-            body = await request.read()
-    except web.HTTPRequestEntityTooLarge:
-        return Refusal(RefusalReason.TOO_LARGE, was_not_run=True)
-    except TimeoutError:
-        if unanswered.has_ended:
-            return unanswered.refusal(was_not_run=True)
-        return Refusal(RefusalReason.TOO_LATE, was_not_run=True)
     request_id = headers.get(names.REQUEST_ID, "")
     if not request_id or not request.raw_path.startswith("/"):
         return Refusal(RefusalReason.BAD_REQUEST, was_not_run=True)
@@ -219,7 +236,7 @@
         host=headers.get("Host", "").lower(),
         target=request.raw_path,
         headers=tuple(_end_to_end_headers(headers)),
-        body=body,
+        body=b"",
         credential=headers.get(names.CREDENTIAL, ""),
         arrived_at_s=progress.arrived_at_s,
         deadline_s=progress.deadline_s,
--- a/src/boragespring/platform/tests/test_planned_stop.py
+++ b/src/boragespring/platform/tests/test_planned_stop.py
@@ -214,6 +214,20 @@
         assert not platform.services["desk-0"].received
 
 
+# Guards against callers that wait for the end of a stop, and a stop that waits for them
+# though their request could be refused by its deadline when its head arrives.
+async def test_stopping_gateway_does_not_wait_for_the_body_of_a_late_request(session):
+    async with deployment(0, 1, routes=SLOW_ROUTES) as platform:
+        process = await add_stopping_gateway(platform)
+        stopping = asyncio.create_task(stop(platform, process))
+        await asyncio.sleep(0.1)
+        reader, writer = await begin_call(process, "b1", body_bytes=9)
+        async with asyncio.timeout(0.5):
+            assert b" 503 " in await reader.readline()
+        writer.close()
+        await stopping
+
+
 async def _slow_body():
     for _ in range(100):
         yield b"x"
