Fix: settings with odd numbers or addresses are refused, or left out

What happens: the settings file has NaN or infinity for the grace period, a negative time, a port out of range, an empty name, or is nested 100,000 deep; at SIGHUP, NaN came into the timers of the gateway and the deep file raised RecursionError from the signal's callback (by reading).

Fix: numbers, ports and names are checked as those of other sources; such a file is refused as before for a field of another type (at SIGHUP: `reload_refused`, the settings stay). A seed that cannot be used is left out with one line (`seed_unusable`), as it must not prevent a start.

--- a/src/boragespring/platform/settings_file.py
+++ b/src/boragespring/platform/settings_file.py
@@ -2,14 +2,25 @@
 
 import os
 import tomllib
+from collections.abc import Iterable, Iterator
 from pathlib import Path
+from typing import Annotated
 
+from absl import logging
 from attrs import frozen
 
+from boragespring.external_values import (
+    INTEGER_MAX,
+    PORT_MAX,
+    UnusableValueError,
+    check_name,
+    parse_address,
+)
 from boragespring.platform.names import SETTINGS_PATH_VARIABLE
 from boragespring.settings import (
     AddressSettings,
     LinkSettings,
+    Range,
     SettingsFileError,
     structure,
 )
@@ -18,6 +29,7 @@
     GatewaySettings,
     GatewayStoreSettings,
 )
+from boragespring.settings.types import Check
 
 __all__ = ["METRICS_PORT", "load_gateway_settings", "settings_path"]
 
@@ -36,6 +48,10 @@
 )
 
 
+_Name = Annotated[str, Check(check_name)]
+_Amount = Annotated[float, Range(0.0, INTEGER_MAX)]
+
+
 @frozen
 class _WireListen:
     front: str
@@ -44,41 +60,41 @@
 
 @frozen
 class _WireBounds:
-    configuration_ms: float = 2000.0
+    configuration_ms: _Amount = 2000.0
     # Whether to stop accepting API keys while their revocation would go unnoticed
     # because the store cannot be reached.
     strict_revocation: bool = False
-    revocation_ms: float = 5000.0
-    grace_s: float = 8.0
-    budget_ratio: float = 0.2
-    budget_window_s: float = 10.0
-    budget_slack: float = 50.0
+    revocation_ms: _Amount = 5000.0
+    grace_s: _Amount = 8.0
+    budget_ratio: _Amount = 0.2
+    budget_window_s: _Amount = 10.0
+    budget_slack: _Amount = 50.0
 
 
 @frozen
 class _WirePlatform:
     # Address of the store, the only platform service that a gateway calls.
     address: str
-    writes_per_s: float = 400.0
-    reads_per_s: float = 2000.0
+    writes_per_s: _Amount = 400.0
+    reads_per_s: _Amount = 2000.0
 
 
 @frozen
 class _WireLimits:
     # Share of a core that the process gets, and the speed of the core as a multiple
     # of the reference machine's.
-    cpu_share: float = 1.0
-    cores: float = 1.0
+    cpu_share: _Amount = 1.0
+    cores: _Amount = 1.0
 
 
 @frozen
 class _WireSettings:
-    node: str
-    zone: str
-    region: str
+    node: _Name
+    zone: _Name
+    region: _Name
     ip_address: str
     # First and last port for traffic between machines of the system.
-    internal_ports: list[int]
+    internal_ports: list[Annotated[int, Range(1, PORT_MAX)]]
     listen: _WireListen
     platform: _WirePlatform
     bounds: _WireBounds = _WireBounds()
@@ -112,11 +128,11 @@
         When the file cannot be read, is not valid TOML, has no internal ports
         or has an address that is not of the form ``HOST:PORT``.
     FieldErrorGroup
-        When fields are missing or have the wrong type.
+        When fields are missing or cannot be used.
     """
     try:
         document = tomllib.loads(path.read_text(encoding="utf-8"))
-    except (OSError, ValueError) as error:
+    except (OSError, ValueError, RecursionError) as error:
         message = f"{path}: cannot be read: {error}; expected a readable TOML file"
         raise SettingsFileError(message) from error
     wire = structure(document, _WireSettings, str(path), ignore_unknown=True)
@@ -143,15 +159,24 @@
         cpu_cores=wire.limits.cpu_share * wire.limits.cores,
         ejects_outliers=HEALTH_CONTRACT in (wire.contracts or ()),
         seeds=tuple(
-            AddressSettings(seed.rpartition(":")[0], wire.internal_ports[0])
-            for seed in wire.seeds or ()
+            AddressSettings(host, wire.internal_ports[0])
+            for host in _seed_hosts(wire.seeds or ())
         ),
     )
 
 
+def _seed_hosts(seeds: Iterable[str]) -> Iterator[str]:
+    """Yield the hosts of the seeds; an unusable one prevents no start."""
+    for seed in seeds:
+        try:
+            yield parse_address(seed)[0]
+        except UnusableValueError as error:
+            logging.warning("event=seed_unusable reason=%s", error)
+
+
 def _parse_address(path: Path, field: str, text: str) -> AddressSettings:
     host, _, port = text.rpartition(":")
-    if not host or not port.isdecimal():
+    if not host or not port.isdecimal() or int(port[:6]) > PORT_MAX:
         message = f"{path}: {field}: found {text!r}; allowed: HOST:PORT"
         raise SettingsFileError(message)
     return AddressSettings(host, int(port))
--- a/src/boragespring/platform/tests/test_settings_file.py
+++ b/src/boragespring/platform/tests/test_settings_file.py
@@ -100,3 +100,28 @@
     result = CliRunner().invoke(app, ["check", str(invalid_path)])
     assert result.exit_code == 1
     assert "bounds.configuration_ms" in result.output
+
+
+@pytest.mark.parametrize(
+    ("found", "written"),
+    [
+        ("grace_s = 9", "grace_s = nan"),
+        ("grace_s = 9", "grace_s = inf"),
+        ("configuration_ms = 1500", "configuration_ms = -1"),
+        ("[7200, 7215]", "[70000, 7215]"),
+        ('front = "10.1.0.19:8740"', 'front = "10.1.0.19:87400"'),
+        ('node = "front-1"', 'node = ""'),
+        ("unknown_field = 5", "unknown_field = " + "[" * 100_000),
+    ],
+)
+def test_odd_value_is_an_error_of_the_settings(write, found, written):
+    assert found in VALID_SETTINGS
+    with pytest.raises((FieldErrorGroup, SettingsFileError)):
+        load_gateway_settings(write(VALID_SETTINGS.replace(found, written)))
+
+
+def test_odd_seed_is_left_out(write):
+    text = VALID_SETTINGS.replace("10.1.0.19:8748", "10.1.0.19]:8748")
+    assert [seed.host for seed in load_gateway_settings(write(text)).seeds] == (
+        ["10.2.0.13"]
+    )
