Fix: one odd line no longer prevents the timeline of `boragespring explain`

What happens: a log line with a lone surrogate (an entry's host, a caller's byte) ended `explain` with UnicodeEncodeError, one that is nested deeply with RecursionError, and one whose time is no number with TypeError or ValueError (the last by reading).

Fix: lines are parsed by `parse_json` and `check_number`, and what has no encoding is printed escaped.

--- a/src/boragespring/cli/explain.py
+++ b/src/boragespring/cli/explain.py
@@ -1,6 +1,5 @@
 """Command that reconstructs the timeline of one request from gateway logs."""
 
-import json
 import sys
 from collections.abc import Iterable, Iterator, Mapping
 from pathlib import Path
@@ -9,6 +8,9 @@
 import typer
 from attrs import frozen
 
+from boragespring.external_values import check_number
+from boragespring.json_document import parse_json
+
 __all__ = ["LogLine", "add_commands", "build_timeline", "parse_lines"]
 
 EXIT_NOT_FOUND = 1
@@ -54,7 +56,9 @@
     def describe(self) -> str:
         """Return the line as printed in the timeline."""
         details = " ".join(f"{name}={value}" for name, value in self.fields.items())
-        return f"{self.time} {self.process_name} {self.event} {details}".rstrip()
+        text = f"{self.time} {self.process_name} {self.event} {details}".rstrip()
+        # Callers can send bytes that have no encoding.
+        return text.encode(errors="backslashreplace").decode()
 
 
 def add_commands(app: typer.Typer) -> None:
@@ -97,13 +101,14 @@
         if json_start < 0:
             continue
         try:
-            fields = json.loads(raw_line[json_start:])
-        except ValueError:
+            fields = parse_json(raw_line[json_start:])
+            mono_s = check_number(fields["mono_s"])
+        except (ValueError, LookupError, TypeError):
             continue
-        if isinstance(fields, dict) and "event" in fields and "mono_s" in fields:
+        if "event" in fields:
             yield LogLine(
                 process_name=str(fields.get("process_name", "")),
-                mono_s=float(fields["mono_s"]),
+                mono_s=mono_s,
                 time=str(fields.get("time", "")),
                 event=str(fields["event"]),
                 about=str(fields.get("about", "")),
--- a/src/boragespring/cli/tests/test_explain.py
+++ b/src/boragespring/cli/tests/test_explain.py
@@ -54,3 +54,21 @@
     assert "answered" in found.output.splitlines()[-1]
     missing = CliRunner().invoke(app, ["explain", "r7", str(path)])
     assert missing.exit_code == 1
+
+
+# Guards against one odd line for which no timeline is printed.
+def test_odd_lines_do_not_prevent_a_timeline():
+    lines = [
+        log_line("g1", 1.0, "placed", request_id="r1", server="i\ud800"),
+        '{"event": ' + "[" * 100_000,
+        *(
+            f'{{"event": "x", "request_id": "r1", "mono_s": {number}}}'
+            for number in ("NaN", "1e400", "9" * 5000, '"soon"', "[]")
+        ),
+        "{}",
+    ]
+    found = CliRunner().invoke(app, ["explain", "r1"], input="\n".join(lines))
+    assert found.exit_code == 0
+    assert found.output.splitlines() == [
+        "2026-12-04T10:00:01.000 g1 placed request_id=r1 server=i\\ud800"
+    ]
