Fix: an event identifier of many digits no longer ends the relay of a stream

What happens, by reading: two events of a server have identifiers of more than 4,300 digits, or a caller resumes a stream with such a `Last-Event-Id`. `int` raises ValueError, which nothing in the relay expects.

Fix: identifiers of decimal digits are ordered by their length and digits.

Evidence: test_running_stream.py on: 14 of 33 failed (13 with ValueError; one with a digit of another script, which counts as a text now); now 33 passed.

--- a/src/boragespring/forwarding/running_stream.py
+++ b/src/boragespring/forwarding/running_stream.py
@@ -142,6 +142,14 @@
 
 
 def _is_later(event_id: str, last_event_id: str) -> bool:
-    if not (event_id.isdecimal() and last_event_id.isdecimal()):
+    both = event_id + last_event_id
+    if not (event_id and last_event_id and both.isascii() and both.isdecimal()):
         return event_id != last_event_id
-    return int(event_id) > int(last_event_id)
+    # The number of digits has no limit here, other than for an integer.
+    return _decimal_rank(event_id) > _decimal_rank(last_event_id)
+
+
+def _decimal_rank(text: str) -> tuple[int, str]:
+    """Return what orders texts of decimal digits as the numbers that they stand for."""
+    digits = text.lstrip("0")
+    return len(digits), digits
