Fix: a background task that fails unexpectedly ends with a log line

What happens: the checks and moves that run beside requests (a probe that another gateway asks for, the query for a leaving server's end, its evacuation, the prefetch of a permit) expect certain errors; another one was only told when the task was collected, or never.

Fix: `start_background_task` logs it (`task_failed`, with the traceback), and keeps the task until it ends, which stood in three places.

--- a/src/boragespring/forwarding/move_scheduler.py
+++ b/src/boragespring/forwarding/move_scheduler.py
@@ -6,6 +6,7 @@
 
 from attrs import evolve
 
+from boragespring.background_tasks import log_failure, start_background_task
 from boragespring.catalog import EngineProfile
 from boragespring.fleet import BackendServer
 from boragespring.forwarding.context import ForwardingContext
@@ -138,6 +139,7 @@
         task = asyncio.create_task(self._evacuate(server, evacuation))
         self._tasks[server.server_id] = task
         task.add_done_callback(lambda _: self._discard(server.server_id))
+        task.add_done_callback(log_failure)
 
     def _discard(self, server_id: str) -> None:
         self._tasks.pop(server_id, None)
@@ -145,9 +147,9 @@
 
     async def _evacuate(self, server: BackendServer, evacuation: Evacuation) -> None:
         """Move the runs of a server in the order shared with other gateways."""
-        end_query = asyncio.create_task(self._query_end_time(server, evacuation))
-        self._end_queries.add(end_query)
-        end_query.add_done_callback(self._end_queries.discard)
+        start_background_task(
+            self._query_end_time(server, evacuation), self._end_queries
+        )
         announced: set[str] = set()
         moved: dict[str, LeavingRun] = {}
         while any(candidate.server is server for candidate in self._streams.values()):
--- a/src/boragespring/forwarding/probing.py
+++ b/src/boragespring/forwarding/probing.py
@@ -7,6 +7,7 @@
 
 from attrs import frozen
 
+from boragespring.background_tasks import start_background_task
 from boragespring.decisions import DecisionLog
 from boragespring.event_loop import sleep_until_tick
 from boragespring.fleet import BackendServer, Fleet
@@ -125,9 +126,7 @@
         server = self._fleet.find(server_id)
         if server is None or not self._may_probe(server):
             return
-        verification = asyncio.create_task(self._probe(server))
-        self._verifications.add(verification)
-        verification.add_done_callback(self._verifications.discard)
+        start_background_task(self._probe(server), self._verifications)
 
     async def _probe_assigned(self, server: BackendServer) -> None:
         if not await self._probe(server):
--- a/src/boragespring/forwarding/tests/test_probing.py
+++ b/src/boragespring/forwarding/tests/test_probing.py
@@ -58,6 +58,21 @@
     assert fleet.find(SERVER_ID).is_leaving
 
 
+class FailingServers:
+    async def fetch_report(self, server):
+        raise OverflowError("a number too large")
+
+
+# Guards against a background task whose error nobody sees.
+async def test_probe_that_fails_unexpectedly_is_logged(caplog):
+    fleet = make_fleet()
+    make_prober(fleet, FailingServers()).on_server_unreachable(SERVER_ID)
+    await asyncio.sleep(0.01)
+    assert [record.getMessage() for record in caplog.records] == [
+        "event=task_failed task=ServerProber._probe"
+    ]
+
+
 async def test_paused_server_that_a_peer_cannot_reach_is_not_probed():
     fleet, calls = make_fleet(), UnreachableServers()
     fleet.pause(fleet.find(SERVER_ID), 5.0)
--- a/src/boragespring/server_rates/limiter.py
+++ b/src/boragespring/server_rates/limiter.py
@@ -9,6 +9,7 @@
 
 from attrs import define, frozen
 
+from boragespring.background_tasks import start_background_task
 from boragespring.decisions import DecisionLog
 from boragespring.fleet import BackendServer, Permit, ServerProcess
 from boragespring.server_rates.issuer import PermitIssuer, Reservation
@@ -203,9 +204,7 @@
             if state.is_asking or now_s < state.ask_after_s:
                 continue
             state.is_asking = True
-            task = asyncio.create_task(self._prefetch(server, state))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            start_background_task(self._prefetch(server, state), self._tasks)
 
     async def wait_for_permit(
         self,
