--- a/src/boragespring/gateway_peers/tests/test_odd_messages.py
+++ b/src/boragespring/gateway_peers/tests/test_odd_messages.py
@@ -1,11 +1,13 @@
 """Messages of other gateways whose values cannot be used are left out as a whole."""
 
 import asyncio
+import logging
 import math
 from types import SimpleNamespace
 
 import pytest
 
+from boragespring.decisions import DecisionLog
 from boragespring.external_values import UnusableValueError
 from boragespring.gateway_peers import SnapshotSharing, SnapshotSharingSettings
 from boragespring.gateway_peers.messages import (
@@ -23,7 +25,6 @@
 from boragespring.gateway_peers.tests.peer_fleet import PeerFleet
 from boragespring.gateway_peers.tests.test_observations import play
 from boragespring.links import Dispatcher
-from boragespring.platform.tests.support import recording_log
 from boragespring.store.follower import PrefixFollower
 
 SERVER = "server-0"
@@ -87,14 +88,14 @@
 
 
 def make_sharing():
-    """Return the sharing of snapshots of one gateway, its follower and its log."""
-    log, handler = recording_log()
+    """Return the sharing of snapshots of one gateway, and its follower."""
+    log = DecisionLog(logger=logging.getLogger("test"))
     listener = RefusingListener()
     follower = PrefixFollower(None, "", listener, listener)
     network = SimpleNamespace(forward_to_joined=lambda changes: None)
     settings = SnapshotSharingSettings()
     sharing = SnapshotSharing(follower, Dispatcher(), network, settings, log)
-    return sharing, follower, handler
+    return sharing, follower
 
 
 ODD_ROWS = [
@@ -109,7 +110,7 @@
 # Guards against a peer's age for which a gateway takes its own snapshot for complete.
 @pytest.mark.parametrize("age_ms", [-1, -(2**60), 2**63])
 def test_odd_age_of_a_snapshot_is_not_believed(age_ms):
-    sharing, follower, _ = make_sharing()
+    sharing, follower = make_sharing()
     link = SimpleNamespace(peer=SimpleNamespace(name="gateway-1"))
     with pytest.raises(UnusableValueError):
         sharing._handle_age(link, SnapshotAge(0, age_ms))
@@ -118,7 +119,7 @@
 
 @pytest.mark.parametrize("row", ODD_ROWS, ids=str)
 def test_changes_with_an_odd_row_are_left_out(row):
-    sharing, follower, _ = make_sharing()
+    sharing, follower = make_sharing()
     with pytest.raises(UnusableValueError):
         sharing._handle_changes(None, StoreChanges(0, 1, [row]))
     assert not follower.items
@@ -129,8 +130,9 @@
     [*(SnapshotReply(1, 1, 0, [row]) for row in ODD_ROWS), SnapshotReply(1, 1, -5, [])],
     ids=str,
 )
-async def test_snapshot_with_an_odd_row_is_refused(reply):
-    sharing, follower, handler = make_sharing()
+async def test_snapshot_with_an_odd_row_is_refused(caplog, reply):
+    caplog.set_level(logging.INFO)
+    sharing, follower = make_sharing()
 
     async def call(*_):
         return reply
@@ -139,5 +141,5 @@
     link = SimpleNamespace(peer=peer, call=call)
     sharing._handle_age(link, SnapshotAge(1, 0))
     await sharing._adopt(sharing._find_newer())
-    assert handler.records_of("copy_refused")
+    assert "copy_refused" in caplog.messages
     assert not follower.position.revision
--- a/src/boragespring/gateway_peers/tests/test_odd_presence.py
+++ b/src/boragespring/gateway_peers/tests/test_odd_presence.py
@@ -1,12 +1,13 @@
 """Entries of gateways that cannot be used; a gateway that is known stays."""
 
 import json
+import logging
 
 import pytest
 
+from boragespring.decisions import DecisionLog
 from boragespring.gateway_peers import Presence, PresenceSettings
 from boragespring.gateway_peers.presence import PRESENCE_PREFIX
-from boragespring.platform.tests.support import recording_log
 from boragespring.store import KeyValue
 from boragespring.store.store import WatchEvent
 
@@ -42,8 +43,9 @@
 # Guards against an odd entry that ends the task which dials the gateway.
 @pytest.mark.parametrize("fields", ODD_FIELDS, ids=lambda each: ascii(each)[:30])
 @pytest.mark.parametrize("is_known", [True, False])
-def test_odd_entry_of_a_gateway_changes_nothing(fields, is_known):
-    log, handler = recording_log()
+def test_odd_entry_of_a_gateway_changes_nothing(caplog, fields, is_known):
+    caplog.set_level(logging.INFO)
+    log = DecisionLog(logger=logging.getLogger("test"))
     notified = []
     presence = Presence(None, None, notified.append, PresenceSettings(), log)
     if is_known:
@@ -51,6 +53,6 @@
     presence.on_snapshot([entry(**fields)], False)
     presence.on_change(WatchEvent(KEY, entry(**fields), 2))
     assert [gateway.host for gateway in notified[-1]] == ["127.0.0.1"] * is_known
-    assert handler.records_of("presence_unreadable")
+    assert "presence_unreadable" in caplog.messages
     presence.on_change(WatchEvent(KEY, None, 3))
     assert not notified[-1]
--- a/src/boragespring/quarantine/tests/test_archive.py
+++ b/src/boragespring/quarantine/tests/test_archive.py
@@ -1,10 +1,11 @@
 """Stored crashes that cannot be used."""
 
 import json
+import logging
 
 import pytest
 
-from boragespring.platform.tests.support import recording_log
+from boragespring.decisions import DecisionLog
 from boragespring.quarantine import (
     CRASHES_KEY,
     CrashArchive,
@@ -38,8 +39,9 @@
     ],
     ids=lambda fields: ascii(fields)[:40],
 )
-def test_odd_crash_in_the_store_is_unreadable(fields):
-    log, handler = recording_log()
+def test_odd_crash_in_the_store_is_unreadable(caplog, fields):
+    caplog.set_level(logging.INFO)
+    log = DecisionLog(logger=logging.getLogger("test"))
     quarantine = RequestQuarantine(
         CrashEvidence(), QuarantineSettings(), lambda key: False, log
     )
@@ -48,5 +50,5 @@
     )
     value = json.dumps({"crashes": [VALID_ROW, {**VALID_ROW, **fields}]}).encode()
     archive.on_snapshot([KeyValue(CRASHES_KEY, value, 1, 1)], False)
-    assert handler.records_of("crashes_unreadable")
+    assert "crashes_unreadable" in caplog.messages
     assert not quarantine.evidence.crashes
