Fix: a revision of the store that no message can carry counts as no reply

Fix: revisions have the bound of all integers that messages carry.

Evidence: the two new cases of test_odd_store_replies.py on: failed; now passed (14 of 14 in the file).

--- a/src/boragespring/platform/store_client.py
+++ b/src/boragespring/platform/store_client.py
@@ -11,7 +11,12 @@
 from absl import logging
 from attrs import frozen
 
-from boragespring.external_values import UnusableValueError, check_number, check_text
+from boragespring.external_values import (
+    UnusableValueError,
+    check_integer,
+    check_number,
+    check_text,
+)
 from boragespring.http.bounded_reply import (
     NotConnectedError,
     create_connector,
@@ -335,15 +340,20 @@
 
 
 def _parse_revision(body: Mapping[str, Any], default: int) -> int:
-    return int(body.get("current_rev", default))
+    return _parse_revision_number(body.get("current_rev", default))
+
+
+def _parse_revision_number(value: Any) -> int:
+    """Return a revision that messages between gateways can carry."""
+    return check_integer(int(value))
 
 
 def _parse_item(entry: Mapping[str, Any]) -> KeyValue:
     return KeyValue(
         key=str(entry["key"]),
         value=_decode_value(entry.get("value")),
-        create_revision=int(entry.get("created", 0)),
-        mod_revision=int(entry["revision"]),
+        create_revision=_parse_revision_number(entry.get("created", 0)),
+        mod_revision=_parse_revision_number(entry["revision"]),
         lease_id=int(entry.get("lease") or 0),
     )
 
@@ -363,4 +373,5 @@
 
 def _parse_event(entry: Mapping[str, Any]) -> WatchEvent:
     item = None if entry.get("removed") else _parse_item(entry)
-    return WatchEvent(str(entry["key"]), item, int(entry["revision"]))
+    revision = _parse_revision_number(entry["revision"])
+    return WatchEvent(str(entry["key"]), item, revision)
--- a/src/boragespring/platform/tests/test_odd_store_replies.py
+++ b/src/boragespring/platform/tests/test_odd_store_replies.py
@@ -29,6 +29,8 @@
         (read_items, '{"items": [{' + ITEM + ": 1e400}]}"),
         (read_items, '{"items": [{' + ITEM + ": []}]}"),
         (read_items, '{"items": [{"key": "servers/i-1"}]}'),
+        (read_items, '{"items": [], "current_rev": 1' + "0" * 30 + "}"),
+        (read_changes, '{"events": [{"key": "k", "revision": -1}]}'),
         (read_items, '{"items": [7]}'),
         (read_items, '{"items": [{"key": "\\ud800"}], "has_more": true}'),
         (read_items, '{"items": [], "current_rev": NaN}'),
