Eject a server that fails half of its requests sooner

Callers got failures for longer than the bound of test_outliers.py allows: 3.5 s after a server had begun to fail half of its requests it still got over a tenth of all calls for 2 s.

Cause: evidence grows by 0.28 a request at such a server, and its verdict waited for 10, about 36 requests in the mean; chance often delays that beyond 3.5 s.

The verdict waits for 8.

--- a/src/boragespring/gateway_peers/tests/test_outliers.py
+++ b/src/boragespring/gateway_peers/tests/test_outliers.py
@@ -22,6 +22,8 @@
 NATURAL_SHARE = 0.14
 CALL_S = 0.03
 SIZES = [(2, 1), (25, 3), (68, 5)]
+#: Offsets of the ticks, which decide what each gateway knows at a request.
+PHASES_S = [0.0, 0.07, 0.14]
 
 
 class Calls:
@@ -79,8 +81,8 @@
     )
 
 
-def play(scenario):
-    run_in_virtual_time(scenario())
+def play(scenario, phase_s=0.0):
+    run_in_virtual_time(scenario(), phase_s)
 
 
 async def start(count, zones, failing=(), servers=3):
@@ -91,9 +93,12 @@
     return fleet, calls
 
 
+@pytest.mark.parametrize("phase_s", PHASES_S)
 @pytest.mark.parametrize(("count", "zones"), SIZES)
 @pytest.mark.parametrize(("share", "within_s"), [(1.0, 1.5), (0.5, 3.5)])
-def test_server_that_fails_soon_gets_next_to_nothing(count, zones, share, within_s):
+def test_server_that_fails_soon_gets_next_to_nothing(
+    count, zones, share, within_s, phase_s
+):
     async def scenario():
         fleet, calls = await start(count, zones)
         await calls.run(5.0)
@@ -107,7 +112,7 @@
         assert not ejected_by(fleet, "server-0")
         assert not ejected_by(fleet, "server-2")
 
-    play(scenario)
+    play(scenario, phase_s)
 
 
 @pytest.mark.parametrize(("count", "zones"), SIZES)
--- a/src/boragespring/outliers/detector.py
+++ b/src/boragespring/outliers/detector.py
@@ -74,7 +74,7 @@
 
     half_life_s: float = 6.0
     excess: float = 0.35
-    score_min: float = 10.0
+    score_min: float = 8.0
     improbability_min: float = 9.0
     sound_share: float = 0.5
     ejected_share_max: float = 0.67
