Fix: a limit that was just reached no longer fails the end of a stop

What callers saw: close to the end of a grace period each request that has no answer gets one. If the deadline of any request had passed just before and its handling was still being cleaned up, an error ended this work: the requests that came after it in the set got no answer then. If it happened at the last call, in `Gateway.stop`, the stop itself failed, no port was closed in order and no request that was left got its answer.

Cause: `asyncio.Timeout.reschedule` raises RuntimeError once a limit has been reached, and a limit stays in the set until its task has run again. Deadlines that pass in the same turn of the event loop as the end of the grace period suffice: those admitted during a stop end before it, and after a pause of the process all of them are due in one turn.

Evidence: the new test fails without the fix, in three runs of three (RuntimeError: Cannot change state of expiring Timeout), and passes with it, in three of three. That a running gateway met it was not seen.

The fix leaves limits alone that have been reached: their requests get their answer anyway.

--- a/src/boragespring/forwarding/unanswered.py
+++ b/src/boragespring/forwarding/unanswered.py
@@ -60,7 +60,9 @@
         self.has_ended = True
         now_s = asyncio.get_running_loop().time()
         for scope in self._scopes:
-            scope.reschedule(now_s)
+            # One that has been reached stays in the set until its request has ended.
+            if not scope.expired():
+                scope.reschedule(now_s)
 
     def refusal(self, was_not_run: bool) -> Refusal:
         """Return the answer to a request whose limit has been reached."""
