Fix: an error in a hook or in the drain no longer keeps a stop from answering

What callers would see: an unexpected error at the begin of a stop ended the process at once, and all that was open was cut without an answer, with seconds of the grace period left; an error at its end did the same to what was left.

Cause: `Gateway` called its hooks unguarded, and `run_daemon` raised the error of a drain before it called `stop`, which is what answers open requests.

Now a hook that fails ends with a line and the others are called, and whatever ends a drain, the daemon is stopped in order. `drain_ended` has the reason `failed` then.

--- a/src/boragespring/composition/process.py
+++ b/src/boragespring/composition/process.py
@@ -65,7 +65,7 @@
     -------
     int
         Exit code of the process: 0 if the drain was completed, 1 if a second
-        signal or the timeout interrupted it.
+        signal, the timeout or an error interrupted it.
     """
     first_received, interrupted = asyncio.Event(), asyncio.Event()
 
@@ -120,7 +120,11 @@
     if not drain_task.done():
         drain_task.cancel()
         return DrainEnd.SECOND_SIGNAL
-    if isinstance(drain_task.exception(), TimeoutError):
+    error = drain_task.exception()
+    if error is None:
+        return None
+    if isinstance(error, TimeoutError):
         return DrainEnd.STOP_TIMEOUT
-    drain_task.result()
-    return None
+    # Whatever it is, the daemon must still answer what it has.
+    logging.error("event=drain_failed", exc_info=error)
+    return DrainEnd.FAILED
--- a/src/boragespring/composition/tests/test_process.py
+++ b/src/boragespring/composition/tests/test_process.py
@@ -8,6 +8,7 @@
 from attrs import define, field
 
 from boragespring.composition.process import run_daemon
+from boragespring.drain_end import DrainEnd
 
 SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
@@ -42,6 +43,22 @@
         pass
 
 
+@define
+class FailingDaemon(DrainingDaemon):
+    """Daemon whose drain fails."""
+
+    calls: list = field(factory=list)
+
+    async def drain(self):
+        raise ValueError
+
+    def record_drain_end(self, end):
+        self.calls.append(end)
+
+    async def stop(self):
+        self.calls.append("stop")
+
+
 async def send_while_draining(signals, **options):
     """Stop a daemon, send more signals, and return its process once it was released."""
     daemon = DrainingDaemon()
@@ -80,3 +97,14 @@
 async def test_signals_do_not_end_a_process_that_is_about_to_exit():
     assert await send_while_draining(()) == (False, 0)
     assert {signal.getsignal(number) for number in SIGNALS} == {signal.SIG_IGN}
+
+
+# Guards against open requests without an answer: an error in the drain ended the
+# process without the stop, which answers them.
+async def test_daemon_is_stopped_although_its_drain_fails():
+    daemon = FailingDaemon()
+    process = asyncio.create_task(run_daemon(daemon))
+    await daemon.is_started.wait()
+    os.kill(os.getpid(), signal.SIGTERM)
+    assert await process == 1
+    assert daemon.calls == [DrainEnd.FAILED, "stop"]
--- a/src/boragespring/drain_end.py
+++ b/src/boragespring/drain_end.py
@@ -10,3 +10,4 @@
 
     STOP_TIMEOUT = "stop_timeout"
     SECOND_SIGNAL = "second_signal"
+    FAILED = "failed"
--- a/src/boragespring/gateway/daemon.py
+++ b/src/boragespring/gateway/daemon.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import Awaitable, Callable, Coroutine, Sequence
+from collections.abc import Awaitable, Callable, Coroutine, Iterable, Sequence
 from typing import Any, Protocol
 
 import attrs
@@ -165,8 +165,7 @@
         self.tracker.begin_stop()
         self.validator.stop_at(started_s + answer_s)
         asyncio.get_running_loop().call_later(answer_s, self._end_unanswered)
-        for hook in self.leave_hooks:
-            hook()
+        _call_each(self.leave_hooks)
         self.log.lifecycle(
             "stopping",
             grace_s=grace_s,
@@ -205,8 +204,7 @@
         self.log.lifecycle("stopped")
 
     def _end_unanswered(self) -> None:
-        for end in self.end_hooks:
-            end()
+        _call_each(self.end_hooks)
 
     async def _supervise(self, loop: Callable[[], Coroutine[None, None, None]]) -> None:
         """Run a background loop, and start it again after an unexpected error.
@@ -228,3 +226,12 @@
             await sleep_until_tick(MAINTENANCE_INTERVAL_S)
             for maintain in self.maintenance:
                 maintain()
+
+
+def _call_each(hooks: Iterable[Callable[[], None]]) -> None:
+    """Call the hooks of a stop; one that fails prevents neither others nor the stop."""
+    for hook in hooks:
+        try:
+            hook()
+        except Exception:
+            logging.exception("event=stop_hook_failed hook=%s", hook.__qualname__)
--- a/src/boragespring/platform/tests/test_planned_stop.py
+++ b/src/boragespring/platform/tests/test_planned_stop.py
@@ -110,6 +110,26 @@
         assert {record.reason for record in refused} == {RefusalReason.LEAVING.value}
 
 
+# Guards against requests that are cut as a hook of the stop fails before theirs.
+async def test_requests_get_an_answer_although_hooks_of_the_stop_fail(session):
+    async with deployment(0, 1, routes=SLOW_ROUTES) as platform:
+        process = await add_stopping_gateway(platform)
+        platform.services["desk-0"].default_fault = ServiceFault.HANG
+        gateway = process.gateway
+        gateway.leave_hooks = (_fail, *gateway.leave_hooks)
+        gateway.end_hooks = (_fail, *gateway.end_hooks)
+        headers = request_headers("c1", remaining_ms=5000)
+        call = session.post(process.url + "/book/x", headers=headers)
+        status = asyncio.create_task(_status(call))
+        await wait_until(lambda: platform.services["desk-0"].received)
+        await stop(platform, process)
+        assert await status == 502
+
+
+def _fail():
+    raise ValueError
+
+
 # Guards against requests that the end of a stop interrupts and no line tells of.
 async def test_each_request_that_a_stop_interrupts_has_one_final_line(session):
     async with deployment(1, engine_spec=EngineSpec(event_interval_s=0.05)) as platform:
