--- a/src/boragespring/gateway/daemon.py
+++ b/src/boragespring/gateway/daemon.py
@@ -234,4 +234,4 @@
         try:
             hook()
         except Exception:
-            logging.exception("event=stop_hook_failed hook=%s", hook.__qualname__)
+            logging.exception("event=stop_hook_failed hook=%r", hook)
