Fix: a call that is being withdrawn may be withdrawn again

What happens, by reading: as a request is held to crash servers, calls like it that wait at servers without a reply are withdrawn. If one of them had reached its limit in the turns of the event loop just before (a first verdict, the deadline of its attempt), an error ended the withdrawal, and the calls behind it went on to servers that they may crash.

What brings limits forward is one function now, used at all three places.

Evidence: test_call_that_is_being_withdrawn_may_be_withdrawn_again fails for calls and streams with the code before (RuntimeError: Cannot change state of expiring Timeout), and passes for both now.

--- a/src/boragespring/forwarding/buffered.py
+++ b/src/boragespring/forwarding/buffered.py
@@ -29,6 +29,7 @@
     ServiceCall,
     choose_server,
 )
+from boragespring.forwarding.time_limits import bring_forward
 from boragespring.forwarding.unframed_end import UnframedEndCheck
 
 __all__ = ["BufferedForwarder", "BufferedReply", "BufferedSettings"]
@@ -222,7 +223,7 @@
                 self._attempt_deadline_s(job, progress, now_s)
             ) as scope:
                 self._context.crash_detector.run_sent(
-                    server, job, partial(scope.reschedule, 0.0)
+                    server, job, partial(bring_forward, scope, 0.0)
                 )
                 outcome = await self._exchange(job, server)
         except TimeoutError:
--- a/src/boragespring/forwarding/streaming.py
+++ b/src/boragespring/forwarding/streaming.py
@@ -39,6 +39,7 @@
 from boragespring.forwarding.running_stream import RunningStream
 from boragespring.forwarding.stream_outcome import StreamEnd, StreamOutcome
 from boragespring.forwarding.stream_relay import StreamRelay
+from boragespring.forwarding.time_limits import bring_forward
 
 __all__ = ["StreamForwarder", "StreamSettings"]
 
@@ -245,7 +246,7 @@
         try:
             async with asyncio.timeout(None) as scope:
                 self._context.crash_detector.run_sent(
-                    server, job, partial(scope.reschedule, 0.0)
+                    server, job, partial(bring_forward, scope, 0.0)
                 )
                 reply = await self._context.calls.send(server, job.attempt())
             head = reply.head
--- a/src/boragespring/forwarding/unanswered.py
+++ b/src/boragespring/forwarding/unanswered.py
@@ -6,6 +6,7 @@
 from math import inf
 
 from boragespring.forwarding.messages import Refusal, RefusalReason
+from boragespring.forwarding.time_limits import bring_forward
 
 __all__ = ["UnansweredRequests"]
 
@@ -60,9 +61,7 @@
         self.has_ended = True
         now_s = asyncio.get_running_loop().time()
         for scope in self._scopes:
-            # One that has been reached stays in the set until its request has ended.
-            if not scope.expired():
-                scope.reschedule(now_s)
+            bring_forward(scope, now_s)
 
     def refusal(self, was_not_run: bool) -> Refusal:
         """Return the answer to a request whose limit has been reached."""
--- a/src/boragespring/platform/tests/test_crashing_requests.py
+++ b/src/boragespring/platform/tests/test_crashing_requests.py
@@ -9,7 +9,7 @@
 
 from boragespring.child_processes import free_ports
 from boragespring.platform import names
-from boragespring.platform.emulator import CrashPoint, ServiceFault
+from boragespring.platform.emulator import CrashPoint, EngineSpec, ServiceFault
 from boragespring.platform.emulator.catalog import FURTHER_SERVICES
 from boragespring.platform.tests.support import (
     deployment,
@@ -307,3 +307,25 @@
         platform.crashing.points[BAD] = CrashPoint(0.02)
         await crash_by_repeats(session, platform, CALL)
         assert {status for status, _ in await asyncio.gather(*waiting)} == {502}
+
+
+# Guards against hazardous calls that go on, as another one was being withdrawn already
+# when a second verdict came, and that was an error.
+@pytest.mark.parametrize("request_line", [CALL, STREAM])
+async def test_call_that_is_being_withdrawn_may_be_withdrawn_again(
+    session, request_line
+):
+    spec = EngineSpec(prefill_tokens_per_s=10.0)
+    async with deployment(engines=1, services=1, engine_spec=spec) as platform:
+        platform.services["desk-0"].default_fault = ServiceFault.HANG
+        process = platform.gateways[0]
+        call = asyncio.create_task(send(session, process, request_line, "r1"))
+        [server] = (
+            platform.services if request_line is CALL else platform.engines
+        ).values()
+        await wait_until(lambda: server.works)
+        detector = process.gateway.callers._forwarder.context.crash_detector
+        for _ in range(3):
+            detector.cancel_waiting(lambda job: True)
+            await asyncio.sleep(0)
+        assert (await call)[0] == 502
