Fix: a request whose identifier or prompt cannot be passed on unchanged is refused

What callers saw: a request whose identifier has a byte that is no UTF-8 was run under another identifier, which no caller had sent, and was answered with 502; one with such a byte in its model or in the parts of its prompt was run with the byte left out, and its result passed on as a success.

Evidence: the three cases of the new test fail before (502, 200 and 200 instead of 400); a trial shows the server's `boragespring-attempt-id: ab` for a caller's `a\xffb`.

Change: such a head is refused as malformed, before anything is sent. Texts in UTF-8 are passed on as before. Headers that no rule names still lose such bytes.

--- a/src/boragespring/platform/http_server.py
+++ b/src/boragespring/platform/http_server.py
@@ -37,6 +37,13 @@
 
 #: Remaining time assumed for a request that does not state it, or no usable one.
 DEFAULT_TIME_REMAINING_S = 60.0
+#: Headers that a server must get as the caller sent them.
+EXACT_HEADERS = (
+    names.REQUEST_ID,
+    names.MODEL,
+    names.TOKEN_COUNTS,
+    names.PROMPT_PARTS,
+)
 #: Longest number in a header that is used.
 NUMBER_MAX_DIGITS = 12
 
@@ -228,7 +235,8 @@
     if head_bytes(request) > limits.header_bytes:
         return Refusal(RefusalReason.HEAD_TOO_LARGE, was_not_run=True)
     request_id = headers.get(names.REQUEST_ID, "")
-    if not request_id or not request.raw_path.startswith("/"):
+    is_addressed = request_id and request.raw_path.startswith("/")
+    if not is_addressed or not _can_pass_unchanged(headers):
         return Refusal(RefusalReason.BAD_REQUEST, was_not_run=True)
     return CallerRequest(
         request_id=request_id,
@@ -246,6 +254,19 @@
     )
 
 
+def _can_pass_unchanged(headers: CIMultiDictProxy[str]) -> bool:
+    """Return whether no header that must stay as it is has bytes that are no UTF-8.
+
+    The HTTP client would leave them out. The parser reads them as lone surrogates.
+    """
+    try:
+        for name in EXACT_HEADERS:
+            "".join(headers.getall(name, ())).encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 def _end_to_end_headers(headers: CIMultiDictProxy[str]) -> Iterable[tuple[str, str]]:
     """Return the headers that are forwarded to the backend server."""
     connection_options = {
--- a/src/boragespring/platform/tests/test_caller_limits.py
+++ b/src/boragespring/platform/tests/test_caller_limits.py
@@ -76,6 +76,32 @@
         assert len(log_records(process, "answered")) == 1
 
 
+# Guards against servers that run a request under an identifier, or with a prompt, that
+# its caller did not send, as bytes that are no UTF-8 were left out.
+@pytest.mark.parametrize(
+    ("sent", "changed"),
+    [
+        (b"Attempt-Id: odd", b"Attempt-Id: o\xffd"),
+        (b"Model: m", b"Model: m\xe9"),
+        (b"Prefix: aa:1", b"Prefix: a\xffa:1"),
+    ],
+)
+async def test_request_that_cannot_be_passed_on_unchanged_is_refused(sent, changed):
+    async with deployment(services=1) as platform:
+        fields = prompt_headers(1, 4).items()
+        more = "".join(f"{name}: {value}\r\n" for name, value in fields)
+        head = build_head("odd", more=more).encode()
+        assert sent in head
+        reader, writer = await connect(platform.gateways[0])
+        for each, status in ((head, 200), (head.replace(sent, changed), 400)):
+            writer.write(each)
+            assert await read_status(reader) == status
+            await reader.readuntil(b"\r\n\r\n")
+            await reader.readexactly(16 if status == 200 else 12)
+        writer.close()
+        assert len(platform.services["desk-0"].received) == 1
+
+
 async def test_oversized_and_truncated_bodies_are_not_forwarded(session):
     async with deployment(services=1) as platform:
         process = platform.gateways[0]
