Do not blame a part that is being answered for servers that crash at once

Three of 23 model servers crashed at the same moment, and every generation with the part that all prompts of the route share got 503 for 60 s at least, also after a restart.

Cause: three crashes with a part in common are the evidence on which the quarantine refuses it, and a part of all prompts is open at each server. The decision withdraws what waits and refuses the rest, so that no answer clears the part. Requests were exempt if answered up to 2 s before a crash, parts were not.

A gateway remembers when the last answer to a part began; a crash up to 2 s later does not count towards the three.

Left: a part that a gateway answers more seldom.

--- a/src/boragespring/platform/tests/test_crashing_prompts.py
+++ b/src/boragespring/platform/tests/test_crashing_prompts.py
@@ -4,6 +4,7 @@
 import time
 
 import aiohttp
+import pytest
 
 from boragespring.child_processes import free_ports
 from boragespring.platform import names
@@ -124,8 +125,14 @@
     return crash_times_s[CRASHES_TO_STOP_AFTER - 1] + CONTACT_S
 
 
-async def test_part_under_which_five_servers_crashed_is_sent_on_no_more(session):
+@pytest.mark.parametrize("was_sound", [False, True])
+async def test_part_under_which_five_servers_crashed_is_sent_on_no_more(
+    session, was_sound
+):
     async with deployment(engines=6, gateways=3) as platform:
+        if was_sound:
+            process = platform.gateways[0]
+            assert await send(session, process, "sound", "first0", BAD) == 200
         platform.crashing_parts.add(BAD)
         await send_crashing_requests(session, platform, CONTACT_S + 5.0)
         bound_s = sent_on_bound_s(platform)
@@ -209,6 +216,42 @@
         assert not log_records(process, "quarantined")
 
 
+# Guards against three engines that crash at once for another reason: all generations
+# with the part that their prompts share were refused for a minute.
+async def test_engines_that_crash_at_once_quarantine_nothing(session):
+    spec = EngineSpec(prefill_tokens_per_s=1000.0)
+    async with deployment(engines=6, gateways=2, engine_spec=spec) as platform:
+        running = []
+        for number in range(24):
+            process = platform.gateways[number % 2]
+            tokens = 100 if number < 12 else 1500
+            stream = send(
+                session, process, f"s{number}", "f0", "rare", prompt_tokens=tokens
+            )
+            running.append(asyncio.create_task(stream))
+            await asyncio.sleep(0.03)
+        await asyncio.gather(*running[:12])
+        busy = [engine for engine in platform.engines.values() if engine.runs]
+        await asyncio.gather(*(engine.crash() for engine in busy[:3]))
+        await wait_until(lambda: count_crashes(platform) >= 3)
+        for number, process in enumerate(platform.gateways):
+            status = await send(session, process, f"t{number}", "f0", "rare")
+            assert status == 200
+            assert not log_records(process, "quarantined")
+        await asyncio.gather(*running)
+
+
+def count_crashes(platform):
+    """Return how many servers the gateways hold to have crashed, together."""
+    return len(
+        {
+            record.server
+            for process in platform.gateways
+            for record in log_records(process, "server_crashed")
+        }
+    )
+
+
 async def test_quarantine_outlasts_a_restart_of_all_gateways(session):
     async with deployment(engines=4, gateways=2) as platform:
         platform.crashing_parts.add(BAD)
--- a/src/boragespring/quarantine/quarantine.py
+++ b/src/boragespring/quarantine/quarantine.py
@@ -114,7 +114,9 @@
         self._culprits: tuple[Culprit, ...] = ()
         self._suspects: tuple[Culprit, ...] = ()
         self._trials: dict[Culprit, _Trial] = {}
-        self._answers = RecentAnswers(clock=clock)
+        # Apart, so that the parts of made-up prompts do not displace requests.
+        self._answered_requests = RecentAnswers()
+        self._answered_parts = RecentAnswers()
         self.news_hooks: list[NewsHook] = []
         self.crash_hooks: list[CrashHook] = []
         self.culprit_hooks: list[CulpritHook] = []
@@ -169,17 +171,22 @@
         self._announce(*self.merge([crash], []))
 
     def record_sound_run(self, service: str, traits: Traits, began_at_s: float) -> None:
-        """Clear the traits of a run for which a server has written an answer.
+        """Clear the parts of a prompt for which a server has written an answer.
 
         Parameters
         ----------
         service : str
             Service of the server.
         traits : Traits
-            Traits of the run.
+            Parts of the prompt of the run.
         began_at_s : float
             Monotonic time in seconds at which the answer began.
         """
+        for trait in traits:
+            self._answered_parts.add(ServiceTrait.of(service, trait), began_at_s)
+        self._clear(service, traits, began_at_s)
+
+    def _clear(self, service: str, traits: Traits, began_at_s: float) -> None:
         clearances = list(self.evidence.clear(service, traits, began_at_s))
         if clearances:
             self._announce([], clearances)
@@ -196,11 +203,13 @@
         identity : RequestIdentity
             What makes other requests the same.
         """
-        is_large = len(identity.body) > self._answers.settings.body_max_bytes
+        body_max_bytes = self._answered_requests.settings.body_max_bytes
+        is_large = len(identity.body) > body_max_bytes
         if is_large and not self.evidence.knows_outline(identity.outline):
             return
-        self._answers.add(identity.trait)
-        self.record_sound_run(service, frozenset([identity.trait]), self._clock())
+        now_s = self._clock()
+        self._answered_requests.add(ServiceTrait.of(service, identity.trait), now_s)
+        self._clear(service, frozenset([identity.trait]), now_s)
 
     def merge(
         self, crashes: Iterable[Crash], clearances: Iterable[Clearance]
@@ -232,12 +241,29 @@
         same time for another reason.
         """
         open_requests = frozenset[str]().union(*map(request_traits, crash.suspects))
+        keys = (ServiceTrait.of(crash.service, trait) for trait in open_requests)
         return [
-            Clearance(ServiceTrait.of(crash.service, trait), frozenset([crash.process]))
-            for trait in open_requests
-            if self._answers.is_sound(trait, crash.at_s)
+            Clearance(key, frozenset([crash.process]))
+            for key in keys
+            if self._answered_requests.is_sound(key, crash.at_s)
         ]
 
+    def _is_decided(self, culprit: Culprit) -> bool:
+        """Return whether enough crashes speak against a culprit.
+
+        A part that many prompts have is open on all servers as well. Crashes shortly
+        after answers to it do not count, but are not put down to other parts either, as
+        a new version of the servers may crash on what the one before has answered.
+        """
+        counted = sum(
+            not self._was_answered(culprit, crash.at_s) for crash in culprit.crashes
+        )
+        return counted >= self._settings.culprit.crashes_min
+
+    def _was_answered(self, culprit: Culprit, at_s: float) -> bool:
+        keys = (ServiceTrait.of(culprit.service, trait) for trait in culprit.traits)
+        return all(self._answered_parts.is_sound(key, at_s) for key in keys)
+
     def _announce(
         self, crashes: Iterable[Crash], clearances: Iterable[Clearance]
     ) -> None:
@@ -251,11 +277,7 @@
         self._version = self.evidence.version
         before, settings = self._culprits, self._settings
         self._suspects = find_culprits(self.evidence, settings.suspect)
-        self._culprits = tuple(
-            suspect
-            for suspect in self._suspects
-            if len(suspect.crashes) >= settings.culprit.crashes_min
-        )
+        self._culprits = tuple(filter(self._is_decided, self._suspects))
         for culprit in self._culprits:
             if culprit not in before:
                 self._log.state_change("quarantined", **self._describe(culprit))
--- a/src/boragespring/quarantine/tests/test_quarantine.py
+++ b/src/boragespring/quarantine/tests/test_quarantine.py
@@ -40,6 +40,37 @@
     assert quarantine.check("other", BAD, "r3") is None
 
 
+# Guards against a common part that is blamed as some servers crash at once, and that no
+# answer can clear then, as all requests with it are refused.
+def test_part_that_many_have_is_not_blamed_as_several_servers_crash_at_once():
+    clock = Clock()
+    quarantine = make_quarantine(clock, crashes=0)
+    quarantine.record_sound_run(SERVICE, frozenset(["all"]), clock.now_s)
+    clock.now_s += 1.0
+    for number in range(4):
+        crash = make_crash(number, f"{number} all", at_s=clock.now_s)
+        quarantine.record_crash(crash)
+    assert is_sent(quarantine, "r1", frozenset(["all", "rare"]))
+    # An answer of a server of an earlier version says nothing about the next one.
+    clock.now_s += 10.0
+    for number in range(4, 7):
+        crash = make_crash(number, f"{number} all", at_s=clock.now_s)
+        quarantine.record_crash(crash)
+    assert not is_sent(quarantine, "r2", frozenset(["all", "rare"]))
+
+
+def test_crashes_on_a_part_that_was_sound_before_are_not_put_down_to_others():
+    clock = Clock()
+    quarantine = make_quarantine(clock, crashes=0)
+    quarantine.record_sound_run(SERVICE, frozenset(["bad"]), clock.now_s)
+    for number in range(8):
+        clock.now_s += 0.5
+        quarantine.record_crash(make_crash(number, "a bad", at_s=clock.now_s))
+        quarantine.record_crash(make_crash(100 + number, "b bad", at_s=clock.now_s))
+        assert is_sent(quarantine, f"r{number}", frozenset(["a", "rare"]))
+    assert not is_sent(quarantine, "r9", frozenset(["c", "bad"]))
+
+
 def test_run_is_not_repeated_after_two_crashes():
     quarantine = make_quarantine(Clock(), crashes=2)
     assert is_sent(quarantine, "r1")
