Fix: an odd reply of the store to a write no longer ends the task that writes

What happens: the reply to an accepted write has a revision that is no number, or a refused one has no usable `current_rev`.

Cause: both numbers were read outside of what turns odd values into errors of the store.

An accepted write with an unusable revision counts as one of unknown outcome, as it was applied, so that its key is read again; a refused one as no reply.

--- a/src/boragespring/platform/store_client.py
+++ b/src/boragespring/platform/store_client.py
@@ -170,11 +170,13 @@
         if status == _CONDITION_FAILED:
             with _reading("/kv-txn"):
                 current_items = list(map(_parse_item, _parse_objects(body, "items")))
+                revision = _parse_revision(body, 0)
             current_item = next(
                 (item for item in current_items if item.key == write.key), None
             )
-            return WriteResult(False, _parse_revision(body, 0), current_item)
-        return WriteResult(True, int(body.get("revision", 0)))
+            return WriteResult(False, revision, current_item)
+        with _reading("/kv-txn", WriteOutcomeUnknownError):
+            return WriteResult(True, _parse_revision_number(body.get("revision", 0)))
 
     async def write_many(
         self, writes: Sequence[ConditionalWrite]
@@ -303,13 +305,15 @@
 
 
 @contextlib.contextmanager
-def _reading(path: str) -> Iterator[None]:
-    """Raise `StoreUnavailableError` if a part of a reply cannot be read."""
+def _reading(
+    path: str, error_class: type[StoreError] = StoreUnavailableError
+) -> Iterator[None]:
+    """Raise an error of the store if a part of a reply cannot be read."""
     try:
         yield
     except (LookupError, TypeError, ValueError, OverflowError) as error:
         reason = f"{path}: unreadable reply: {error!r}"
-        raise StoreUnavailableError(reason[:REASON_MAX_CHARACTERS]) from error
+        raise error_class(reason[:REASON_MAX_CHARACTERS]) from error
 
 
 def _parse_objects(body: Mapping[str, Any], name: str) -> list[Mapping[str, Any]]:
--- a/src/boragespring/platform/tests/test_odd_store_replies.py
+++ b/src/boragespring/platform/tests/test_odd_store_replies.py
@@ -5,6 +5,7 @@
 from boragespring.platform.store_client import PlatformStore, PlatformStoreSettings
 from boragespring.platform.tests.test_odd_replies import replying_server
 from boragespring.store import StoreUnavailableError
+from boragespring.store.store import ConditionalWrite, WriteOutcomeUnknownError
 
 ITEM = '"key": "servers/i-1", "value": "", "revision"'
 
@@ -58,3 +59,23 @@
         found = await store.range("")
         await store.close()
     assert [item.key for item in found.items] == ["servers/i-1"]
+
+
+# Guards against a reply to a write that ends the task which writes.
+@pytest.mark.parametrize(
+    ("status", "body", "error"),
+    [
+        (200, '{"revision": "new"}', WriteOutcomeUnknownError),
+        (200, '{"revision": []}', WriteOutcomeUnknownError),
+        (200, '{"revision": 1e400}', WriteOutcomeUnknownError),
+        (412, '{"items": [], "current_rev": []}', StoreUnavailableError),
+    ],
+)
+async def test_odd_reply_to_a_write_does_not_tell_its_result(status, body, error):
+    async with replying_server(status, body.encode()) as (_, server):
+        store = PlatformStore(PlatformStoreSettings(f"http://{server.address}"))
+        try:
+            with pytest.raises(error):
+                await store.write(ConditionalWrite("k", b"v", 0))
+        finally:
+            await store.close()
