The head of a stream is sent with its first event

Cause: the caller got the head as soon as the server's was there, so that no error could be sent any more.

Change: HeldHead sends the head with the first data. Until then the request counts as unanswered: the end of a stop and the deadline give 502 and 504, a server that breaks off 502; stream_not_begun has the reason. The time to the first event stays.

--- a/src/boragespring/forwarding/running_stream.py
+++ b/src/boragespring/forwarding/running_stream.py
@@ -95,6 +95,8 @@
         """What the stream is waiting for."""
         if self.is_stopping or self.is_reply_broken:
             return RequestStage.BETWEEN_SERVERS
+        if not self.is_started:
+            return RequestStage.SENT
         return RequestStage.ANSWERING if self.target is None else RequestStage.MOVING
 
     def silent_s(self, now_s: float) -> float:
--- a/src/boragespring/forwarding/stream_relay.py
+++ b/src/boragespring/forwarding/stream_relay.py
@@ -15,8 +15,8 @@
     ServerUnreachableError,
 )
 from boragespring.forwarding.events import EventSplitter
+from boragespring.forwarding.held_head import HeldHead
 from boragespring.forwarding.messages import (
-    CallerReply,
     Reachability,
     ResumePoint,
     ServerReply,
@@ -46,7 +46,7 @@
         Dependencies shared by all streams.
     stream : RunningStream
         State of the stream.
-    caller : CallerReply
+    caller : HeldHead
         Response channel to the caller.
     handover_timeout_s : float
         Maximum time in seconds to wait for the result of a move after the reply of
@@ -57,7 +57,7 @@
         self,
         context: ForwardingContext,
         stream: RunningStream,
-        caller: CallerReply,
+        caller: HeldHead,
         handover_timeout_s: float,
     ) -> None:
         self._context = context
--- a/src/boragespring/forwarding/streaming.py
+++ b/src/boragespring/forwarding/streaming.py
@@ -16,6 +16,7 @@
     ReplyLostError,
     ServerUnreachableError,
 )
+from boragespring.forwarding.held_head import HeldHead
 from boragespring.forwarding.jobs import Job
 from boragespring.forwarding.messages import (
     CallerReply,
@@ -318,16 +319,21 @@
         stream = RunningStream(
             job, opened.server, opened.load, last_event_id=job.last_event_id
         )
-        timeout_s = self._settings.handover_timeout_s
-        relay = StreamRelay(self._context, stream, caller, timeout_s)
+        unanswered = self._context.unanswered
         self._move_scheduler.add(stream)
         job.progress.run = stream
+        refusal = Refusal(RefusalReason.REPLY_LOST, was_not_run=False)
+        held = HeldHead(caller, head)
+        relay = StreamRelay(
+            self._context, stream, held, self._settings.handover_timeout_s
+        )
         try:
-            async with asyncio.timeout_at(job.deadline_s):
-                await caller.start(head)
+            async with unanswered.limit(job.deadline_s) as on_start:
+                held.on_start = on_start
                 reason = await relay.forward(opened.reply)
         except TimeoutError:
             reason = "time is up"
+            refusal = unanswered.refusal(was_not_run=False)
         except (ReplyLostError, ServerUnreachableError) as error:
             reason = str(error)
         finally:
@@ -345,10 +351,18 @@
             stream.reply_framing.value,
             is_event_unterminated=stream.unterminated_bytes > 0,
         )
+        if reason and not held.is_started:
+            self._context.log.failure(
+                "stream_not_begun",
+                job.request_id,
+                server=stream.server_id,
+                reason=reason,
+            )
+            return refusal
         if reason:
             caller.abort()
         else:
-            await caller.finish()
+            await held.finish()
         return StreamOutcome(
             end,
             reason,
--- a/src/boragespring/forwarding/unanswered.py
+++ b/src/boragespring/forwarding/unanswered.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 from collections.abc import AsyncIterator, Callable
+from functools import partial
 from math import inf
 
 from boragespring.forwarding.messages import Refusal, RefusalReason
@@ -36,9 +37,12 @@
         self.retry_after_s: Callable[[], float] = _at_once
 
     @contextlib.asynccontextmanager
-    async def limit(self, deadline_s: float) -> AsyncIterator[None]:
+    async def limit(self, deadline_s: float) -> AsyncIterator[Callable[[], None]]:
         """Limit the time until a request has its answer, or the first part of it.
 
+        What is entered is a function to call when the answer begins: from then on only
+        the deadline counts.
+
         Parameters
         ----------
         deadline_s : float
@@ -52,7 +56,7 @@
         async with asyncio.timeout_at(-inf if self.has_ended else deadline_s) as scope:
             self._scopes.add(scope)
             try:
-                yield
+                yield partial(self._scopes.discard, scope)
             finally:
                 self._scopes.discard(scope)
 
--- a/src/boragespring/platform/tests/test_crashing_prompts.py
+++ b/src/boragespring/platform/tests/test_crashing_prompts.py
@@ -56,7 +56,7 @@
         await wait_until(lambda: platform.engines["engine-0"].runs)
         engine = platform.engines["engine-0"]
         await wait_until(lambda: engine.runs["sound"].event_count > 4)
-        assert await send(session, process, "r1", "first", BAD) == 0
+        assert await send(session, process, "r1", "first", BAD) == 502
         assert await sound == 0
         await wait_until(lambda: log_records(process, "server_crashed"))
         (record,) = log_records(process, "server_crashed")
@@ -81,7 +81,7 @@
     async with deployment(engines=1) as platform:
         process = platform.gateways[0]
         platform.engines["engine-0"].truncates_at_event = 1
-        assert await send(session, process, "r1", "first", "rare") == 0
+        assert await send(session, process, "r1", "first", "rare") == 502
         await asyncio.sleep(0.2)
         assert not log_records(process, "server_crashed")
 
@@ -148,7 +148,7 @@
     """Let three requests with the part crash a server each."""
     for number in range(3):
         process = platform.gateways[number % len(platform.gateways)]
-        assert await send(session, process, f"bad-{number}", f"f{number}", BAD) == 0
+        assert await send(session, process, f"bad-{number}", f"f{number}", BAD) == 502
         await asyncio.sleep(0.1)
 
 
--- a/src/boragespring/platform/tests/test_forwarding_streams.py
+++ b/src/boragespring/platform/tests/test_forwarding_streams.py
@@ -104,8 +104,8 @@
         engine.sends_unframed = sends_unframed
         engine.closes_before_event = 1
         async with post_draft(session, platform.gateways[0], "s1") as response:
-            with pytest.raises(aiohttp.ClientError):
-                await response.read()
+            assert response.status == 502
+        assert log_records(platform.gateways[0], "stream_not_begun")
 
 
 @pytest.mark.parametrize("sends_unframed", [False, True])
--- a/src/boragespring/platform/tests/test_planned_stop.py
+++ b/src/boragespring/platform/tests/test_planned_stop.py
@@ -248,6 +248,19 @@
         await stopping
 
 
+# Guards against streams that a stop cuts with nothing but a head.
+async def test_stream_without_an_event_gets_an_answer_at_the_end_of_a_stop(session):
+    async with deployment(1, engine_spec=EngineSpec(event_interval_s=3.0)) as platform:
+        process = await add_stopping_gateway(platform)
+        stream = asyncio.create_task(_status(post_draft(session, process, "s1")))
+        await wait_until(lambda: platform.engines["engine-0"].started_run_ids)
+        await asyncio.sleep(0.2)
+        await stop(platform, process)
+        assert await stream == 502
+    [refused] = final_lines(process)
+    assert (refused.reason, refused.was_not_run) == ("leaving", False)
+
+
 async def _slow_body():
     for _ in range(100):
         yield b"x"
