--- a/src/boragespring/platform/tests/test_planned_stop.py
+++ b/src/boragespring/platform/tests/test_planned_stop.py
@@ -261,6 +261,25 @@
     assert (refused.reason, refused.was_not_run) == ("leaving", False)
 
 
+# Guards against streams that a stop cuts while no server is at work on them.
+async def test_stop_cuts_no_stream_whose_run_waits_for_memory(session):
+    spec = EngineSpec(memory_tokens=2080, event_interval_s=0.05)
+    async with deployment(1, engine_spec=spec) as platform:
+        process, engine = await add_stopping_gateway(platform), platform.engines
+        drafts = [post_draft(session, process, name) for name in ("s1", "s2")]
+        streams = [asyncio.create_task(_status(draft)) for draft in drafts]
+        await wait_until(lambda: engine["engine-0"].preemptions)
+        began_s = time.monotonic()
+        await stop(platform, process)
+        await asyncio.gather(*streams)
+        answered = log_records(process, "answered")
+        cut = {each.request_id for each in answered if each.outcome == "cut"}
+        last_sixth = began_s + GRACE_S * 5 / 6, began_s + GRACE_S
+        works = [each for each in engine["engine-0"].works if each.request_id in cut]
+        assert works
+        assert all(each.was_busy(*last_sixth) for each in works)
+
+
 async def _slow_body():
     for _ in range(100):
         yield b"x"
