Tests: an error that another test's server left fails no test of odd entries

That server expects such connections now, and the fixture collects what earlier tests left before it looks; what it demands of its own test is unchanged.

--- a/src/boragespring/platform/tests/test_endless_replies.py
+++ b/src/boragespring/platform/tests/test_endless_replies.py
@@ -51,7 +51,8 @@
     """Start a server that replies without end; yield its port."""
 
     async def reply(reader, writer):
-        with contextlib.suppress(ConnectionError):
+        # A gateway also opens connections that carry nothing.
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
             await reader.readuntil(b"\r\n\r\n")
             writer.write(HEADS[form])
             while True:
@@ -169,7 +170,8 @@
     session, byte_interval_s
 ):
     async def drip(reader, writer):
-        with contextlib.suppress(ConnectionError):
+        # A gateway also opens connections that carry nothing.
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
             await reader.readuntil(b"\r\n\r\n")
             for byte in b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n" * 100:
                 writer.write(bytes([byte]))
--- a/src/boragespring/platform/tests/test_odd_registrations.py
+++ b/src/boragespring/platform/tests/test_odd_registrations.py
@@ -1,6 +1,7 @@
 """Entries whose values cannot be used name no server; all others hold."""
 
 import asyncio
+import gc
 import json
 import logging
 from functools import partial
@@ -60,6 +61,9 @@
 @pytest.fixture
 async def uncaught(caplog):
     """Errors that background tasks and the libraries' handlers have not caught."""
+    # Errors of tasks that earlier tests left are reported as they are collected.
+    gc.collect()
+    caplog.clear()
     errors = []
     loop = asyncio.get_running_loop()
     loop.set_exception_handler(lambda _, context: errors.append(context))
