--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,8 @@
 	$(BIN)/ruff check --fix src
 
 test: lint
-	$(BIN)/python -m pytest -n 6
+	$(BIN)/python -m pytest -n 6 -m "not alone"
+	$(BIN)/python -m pytest -m alone
 
 faults: $(DEV_STAMP)
 	$(BIN)/boragespring faults --runs $(N)
