Fix: a gateway passes the bodies of requests on as they were encoded

Callers saw: a body with Content-Encoding gzip or deflate reached its server decoded, still with that header: not what the caller had sent, and up to a thousand times as large. Cause: the HTTP library decodes the bodies of requests by default. Why it works: the parser of callers' connections is told not to decode, so nothing else handles the bytes.

--- a/src/boragespring/http/caller_connection.py
+++ b/src/boragespring/http/caller_connection.py
@@ -53,6 +53,7 @@
             lingering_time=LINGERING_TIME_S,
             max_line_size=LINE_MAX_BYTES,
             max_field_size=LINE_MAX_BYTES,
+            auto_decompress=False,
             access_log=None,  # type: ignore[arg-type]
         )
         self._limits = limits
