Fix: a caller's connection keeps one request at a time, whatever is sent ahead

Callers saw: a gateway ended, out of memory, as a few callers sent requests ahead. Cause: the HTTP library parses up to 32 requests behind the one that is handled. Their heads are under no limit on the whole head (128 lines of 64 KiB each), trailers neither, and a body is kept as one object for each chunk until its handler reads it. Change: the parser stops after each request; what arrives behind it is kept as bytes, 32 KiB, so that the end of the connection is still noticed while the request runs. Bodies are collected as they arrive, at once. What follows in a body without being part of it, such as a trailer, is bounded by the limit on heads. Bytes that are no body are refused at once.

--- a/src/boragespring/composition/gateway.py
+++ b/src/boragespring/composition/gateway.py
@@ -4,6 +4,7 @@
 of the platform on which it runs.
 """
 
+import sys
 import time
 from collections.abc import Callable
 from functools import partial
@@ -51,6 +52,7 @@
     WatchRotation,
 )
 from boragespring.http.admin import HttpServer, admin_routes
+from boragespring.http.caller_budget import CallerBudget, CallerBudgetSettings
 from boragespring.metrics.gateway import GatewayMetrics
 from boragespring.outliers import OutlierDetector, OutlierSettings
 from boragespring.platform.http_server import GatewayHttpServer
@@ -181,6 +183,8 @@
             tracker,
             log,
             context.unanswered,
+            # What connections hold is counted, and not limited yet.
+            CallerBudget(CallerBudgetSettings(sys.maxsize, sys.maxsize)),
         ),
         listeners=[peers.server],
         loops=(
--- a/src/boragespring/forwarding/messages.py
+++ b/src/boragespring/forwarding/messages.py
@@ -348,6 +348,7 @@
     REPLY_LOST = "reply_lost"
     QUARANTINED = "quarantined"
     RATE_LIMITED = "rate_limited"
+    OUT_OF_MEMORY = "out_of_memory"
 
 
 @frozen
--- a/src/boragespring/forwarding/progress.py
+++ b/src/boragespring/forwarding/progress.py
@@ -1,5 +1,6 @@
 """Progress of a request from its arrival to the end of its reply."""
 
+from collections.abc import Callable
 from enum import StrEnum
 from typing import Protocol
 
@@ -71,6 +72,9 @@
         Number of servers that the request was sent to.
     run : ActiveRun or None
         Run whose reply is being streamed to the caller.
+    hold_reply : callable
+        Counts the bytes that are kept of the reply; returns whether there is memory
+        for them.
     has_caller_left : bool
         Whether the caller has closed its connection.
     is_ended : bool
@@ -86,6 +90,7 @@
     server_id: str = ""
     sends: int = 0
     run: ActiveRun | None = None
+    hold_reply: Callable[[int], bool] = lambda _: True
     has_caller_left: bool = False
     is_ended: bool = False
     _stage: RequestStage = RequestStage.BODY
--- a/src/boragespring/http/caller_connection.py
+++ b/src/boragespring/http/caller_connection.py
@@ -1,120 +1,444 @@
-"""Caller connections with limits on the size and duration of request heads.
+"""Connection of a caller, whose memory is bounded and counted.
 
-A request head consists of the request line and the headers. aiohttp limits only
-the length of single lines, and waits for a complete head indefinitely.
+The library's connection would wait for heads without end, and keep what callers send
+ahead. This one differs:
+
+- One request is parsed at a time. While it is handled, little is read: enough to notice
+  that the caller leaves.
+- Bodies are collected as they arrive, whoever waits for them.
+- Heads are limited as a whole, and so is what comes in their form after a body.
+- What the connection holds counts against the budget of all callers.
 """
 
 import asyncio
-from collections.abc import Awaitable, Callable
+import time
+from collections.abc import Callable, Iterable
 from http import HTTPStatus
+from typing import Any
 
 from aiohttp import web
+from aiohttp.http import HttpRequestParser, RawRequestMessage
+from aiohttp.streams import StreamReader
+from aiohttp.web_protocol import RequestPayloadError
+from attrs import frozen
 
-from boragespring.catalog import CallerLimits
-from boragespring.decisions import DecisionLog
+from boragespring.http.caller_budget import CallerBudget, CallerState, EvictionReason
+from boragespring.http.upload import (
+    Upload,
+    UploadEvictedError,
+    UploadMalformedError,
+)
 
-__all__ = ["CallerConnection", "ConnectionServer", "head_bytes"]
+__all__ = ["CallerConnection", "ConnectionLimits", "RefusedHead", "head_bytes"]
 
 #: Maximum length of a single line. It exceeds the usual limit on the whole head,
 #: which therefore applies first.
 LINE_MAX_BYTES = 64 * 2**10
+#: Maximum number of lines of a head.
+HEADERS_MAX = 128
 #: Time in seconds to read the rest of a request that was answered early.
 LINGERING_TIME_S = 2.0
+#: Maximum amount of data that is read from the socket at once.
+RECEIVE_BYTES = 32 * 2**10
+#: Amount that is read behind a request that is handled.
+READ_AHEAD_MAX_BYTES = 32 * 2**10
+#: Time in seconds after which to retry a request that was refused for lack of memory.
+EVICTED_RETRY_AFTER_S = 1.0
+
+#: Bytes of a head that are in no method, target, name or value.
+SEPARATOR_BYTES = len(":\r\n")
+REQUEST_LINE_REST_BYTES = len("  HTTP/1.1\r\n\r\n")
+#: Least size of a line in a head.
+HEAD_LINE_MIN_BYTES = len("a:\r\n")
+
+#: Cost in memory of a connection, of a request that is handled, of each line of a head,
+#: and of each byte of a head and of a body. Heads are kept as received and decoded, and
+#: bodies are copied on their way to a server.
+CONNECTION_BYTES = 6 * 2**10
+REQUEST_BYTES = 24 * 2**10
+HEAD_LINE_BYTES = 200
+HEAD_COST_FACTOR = 4
+BODY_COST_FACTOR = 2
+
+
+@frozen
+class ConnectionLimits:
+    """Limits on a connection and its requests.
+
+    Parameters
+    ----------
+    header_bytes : int
+        Maximum size of the request line and headers.
+    body_bytes : int
+        Maximum size of the body.
+    header_timeout_s : float
+        Maximum time in seconds from the first byte of a request to the end of its
+        headers.
+    idle_timeout_s : float
+        Maximum time in seconds for which a connection may be idle between two requests.
+    """
+
+    header_bytes: int
+    body_bytes: int
+    header_timeout_s: float
+    idle_timeout_s: float
+
+
+@frozen
+class RefusedHead:
+    """Head that was refused before it was complete.
+
+    Parameters
+    ----------
+    status : int
+        Status of the refusal.
+    head_bytes : int
+        Size of what had arrived.
+    """
+
+    status: int
+    head_bytes: int
 
 
 class CallerConnection(web.RequestHandler):
-    """Connection that is closed if a request head is too large or too slow.
+    """Connection of one caller.
 
     Parameters
     ----------
     manager : web.Server
         Server that the connection belongs to.
-    limits : CallerLimits
+    limits : ConnectionLimits
         Limits that are in effect when the connection is opened.
-    log : DecisionLog
-        Log in which refused heads are recorded.
+    budget : CallerBudget
+        Memory of all callers.
+    on_head_refused : callable
+        Called with each head that is refused.
 
     Attributes
     ----------
     is_lost : bool
         Whether the connection has been closed.
+    waits_since_s : float
+        Monotonic time in seconds since which it waits for what `state` says.
     """
 
     def __init__(
         self,
         manager: web.Server,
-        limits: CallerLimits,
-        log: DecisionLog,
+        limits: ConnectionLimits,
+        budget: CallerBudget,
+        on_head_refused: Callable[[RefusedHead], None],
     ) -> None:
         super().__init__(
             manager,
             loop=asyncio.get_running_loop(),
             keepalive_timeout=limits.idle_timeout_s,
             lingering_time=LINGERING_TIME_S,
-            max_line_size=LINE_MAX_BYTES,
-            max_field_size=LINE_MAX_BYTES,
-            auto_decompress=False,
             access_log=None,  # type: ignore[arg-type]
         )
+        self._parser = self._create_parser()
         self._limits = limits
-        self._log = log
+        self._budget = budget
+        self._on_head_refused = on_head_refused
+        self._socket: asyncio.Transport | None = None
         self.is_lost = False
-        self._is_reading_head = True
+        self.waits_since_s = time.monotonic()
+        self._is_parsing = False
+        self._is_gated = False
+        self._is_handled = False
+        self._upload: Upload | None = None
         self._head_bytes = 0
+        self._head_cost_bytes = 0
         self._head_timer: asyncio.TimerHandle | None = None
+        self._is_discarding = False
+        self._framing_bytes = 0
+        self._fed_bytes = 0
+        self._consumed_bytes = 0
+        self._unparsed_bytes = 0
+        self._held_back = bytearray()
+        self._reply_bytes = 0
 
-    def on_head_read(self) -> None:
-        """Stop the timer of a head, which is complete and being handled."""
-        self._is_reading_head = False
-        self._head_bytes = 0
+    @property
+    def state(self) -> CallerState:
+        """What the connection waits for."""
+        if self._socket is None or self._socket.is_closing():
+            return CallerState.CLOSING
+        if self.writing_paused:
+            return CallerState.REPLY
+        if self._upload is None:
+            return CallerState.HEAD if self._head_bytes else CallerState.IDLE
+        if self._upload.is_complete:
+            return CallerState.RUNNING
+        return CallerState.BODY
+
+    @property
+    def upload(self) -> Upload:
+        """Body of the request that is handled."""
+        assert self._upload is not None
+        return self._upload
+
+    @property
+    def is_out_of_memory(self) -> bool:
+        """Whether callers hold too much memory for a further request."""
+        return self._budget.is_exhausted
+
+    def hold_reply(self, size_bytes: int) -> bool:
+        """Count what is kept of a reply; return whether there is memory for it."""
+        self._reply_bytes = size_bytes
+        self._account()
+        return not self._budget.is_exhausted
+
+    def evict(self, reason: EvictionReason) -> None:
+        """Free what the connection holds; refuse its request, or close it."""
+        state, upload = self.state, self._upload
+        is_awaited = upload is not None and upload.is_awaited
+        if state is CallerState.BODY and is_awaited:
+            self.upload.fail(UploadEvictedError("callers hold too much memory"))
+            if reason is EvictionReason.MEMORY:
+                # The handler refuses the request.
+                self._account()
+                return
+        if state is CallerState.HEAD or is_awaited:
+            self._refuse(HTTPStatus.SERVICE_UNAVAILABLE)
+        self._close_at_once()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Count the connection."""
+        super().connection_made(transport)
+        assert isinstance(transport, asyncio.Transport)
+        self._socket = transport
+        # Amount that asyncio's transports on selectors read at once.
+        transport.max_size = RECEIVE_BYTES  # type: ignore[attr-defined]
+        self._budget.add(self)
+        self._account()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Free all that the connection holds."""
+        self.is_lost = True
         self._stop_timer()
+        if self._upload is not None:
+            self._upload.drop()
+        self._budget.remove(self)
+        super().connection_lost(exc)
 
-    def on_request_handled(self) -> None:
-        """Start to count the head of the next request."""
-        self._is_reading_head = True
+    def pause_writing(self) -> None:
+        """Note that the caller does not take its reply."""
+        super().pause_writing()
+        self.waits_since_s = time.monotonic()
+        self._account()
+
+    def resume_writing(self) -> None:
+        """Count what the caller has taken of its reply."""
+        super().resume_writing()
+        self._account()
 
     def data_received(self, data: bytes) -> None:
-        """Process received bytes, and count those of an incomplete head."""
+        """Process received bytes."""
+        if self._is_parsing or self._is_discarding:
+            # The library lets the parser go on, as `_parse` does.
+            return
+        if not self._is_gated:
+            self._feed(data)
+        elif data:
+            self._hold_back(data)
+
+    async def finish_response(
+        self, request: web.BaseRequest, resp: web.StreamResponse, start_time: Any
+    ) -> tuple[web.StreamResponse, bool]:
+        """Send a reply, then let the next request follow."""
+        try:
+            return await super().finish_response(request, resp, start_time)
+        finally:
+            self._on_request_handled()
+
+    def _create_parser(self) -> Any:
+        """Return a parser that stops after each request, and decodes no body."""
+        return HttpRequestParser(
+            self,
+            self._loop,
+            RECEIVE_BYTES,
+            max_line_size=LINE_MAX_BYTES,
+            max_field_size=LINE_MAX_BYTES,
+            max_headers=HEADERS_MAX,
+            payload_exception=RequestPayloadError,
+            auto_decompress=False,
+            max_msg_queue_size=1,
+        )
+
+    def _feed(self, data: bytes) -> None:
+        """Parse received bytes up to the end of a request, and count what is kept."""
+        upload = self._upload
+        received_bytes = upload.received_bytes if upload is not None else 0
+        self._fed_bytes += len(data)
+        self._is_parsing = True
+        try:
+            self._parse(data)
+        finally:
+            self._is_parsing = False
+        if self._upload is None:
+            self._count_head(data)
+        elif self._upload.is_complete:
+            self._gate()
+        elif self._upload is upload and upload.received_bytes == received_bytes:
+            self._count_framing(data)
+        else:
+            self._framing_bytes = 0
+        self._account()
+
+    def _parse(self, data: bytes) -> None:
+        message_count = len(self._messages)
         super().data_received(data)
-        if not data or not self._is_reading_head:
+        if len(self._messages) > message_count:
+            self._begin_request(*self._messages[-1])
+        upload = self._upload
+        # The parser stops where much of a body is not taken.
+        while upload is not None and upload.collect() and not upload.is_complete:
+            super().data_received(b"")
+
+    def _begin_request(self, message: Any, payload: StreamReader) -> None:
+        """Collect the body of a request whose head is complete."""
+        if self._upload is not None:
+            self._upload.fail(UploadMalformedError("its framing cannot be read"))
+            return
+        self._stop_timer()
+        self._head_bytes = 0
+        if isinstance(message, RawRequestMessage):
+            size_bytes = head_bytes(message.method, message.path, message.raw_headers)
+            self._consumed_bytes = size_bytes
+            self._head_cost_bytes = head_cost_bytes(
+                size_bytes, len(message.raw_headers)
+            )
+        self._upload = Upload(payload, self._limits.body_bytes)
+        self._is_handled = False
+        self.waits_since_s = time.monotonic()
+
+    def _count_head(self, data: bytes) -> None:
+        """Count received bytes of an incomplete head, and limit them."""
+        if not data:
             return
+        if not self._head_bytes:
+            self.waits_since_s = time.monotonic()
         self._head_bytes += len(data)
-        loop = asyncio.get_running_loop()
+        self._head_cost_bytes += head_cost_bytes(len(data), data.count(b"\n"))
         if self._head_timer is None:
             timeout_s = self._limits.header_timeout_s
-            self._head_timer = loop.call_later(timeout_s, self._on_head_timeout)
+            self._head_timer = self._loop.call_later(timeout_s, self._on_head_timeout)
         if self._head_bytes > self._limits.header_bytes:
-            status = HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
-            loop.call_soon(self._refuse_if_incomplete, status)
+            self._refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
 
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """Stop the timer when the connection is lost."""
-        self.is_lost = True
-        self._stop_timer()
-        super().connection_lost(exc)
+    def _count_framing(self, data: bytes) -> None:
+        """Limit what arrives in a body without being part of it, such as trailers."""
+        self._framing_bytes += len(data)
+        if self._framing_bytes > self._limits.header_bytes:
+            self._is_discarding = True
+            self.upload.fail(UploadMalformedError("too long a trailer"))
+
+    def _gate(self) -> None:
+        """Parse nothing more until the request has been handled."""
+        self._is_gated = True
+        consumed_bytes = self._consumed_bytes + self.upload.received_bytes
+        self._unparsed_bytes = max(0, self._fed_bytes - consumed_bytes)
+        self._limit_read_ahead()
+        if self._is_handled:
+            self._loop.call_soon(self._resume)
+
+    def _hold_back(self, data: bytes) -> None:
+        """Keep what arrives behind the request that is handled."""
+        self._held_back += data
+        self._limit_read_ahead()
+        self._account()
+
+    def _limit_read_ahead(self) -> None:
+        if self._unparsed_bytes + len(self._held_back) >= READ_AHEAD_MAX_BYTES:
+            self._pause_reading_for_buffer()
+
+    def _resume_reading_if_drained(self) -> None:
+        """Leave it to `_resume` to read on, whatever the library has taken."""
+
+    def _on_request_handled(self) -> None:
+        self._is_handled = True
+        self.waits_since_s = time.monotonic()
+        self._head_cost_bytes = 0
+        self._reply_bytes = 0
+        if self._upload is not None:
+            self._upload.drop()
+        if self._is_gated:
+            self._loop.call_soon(self._resume)
+        self._account()
+
+    def _resume(self) -> None:
+        """Parse what arrived behind a request that was handled, and read on."""
+        if self._socket is None or self._socket.is_closing() or not self._is_gated:
+            return
+        self._is_gated = False
+        self._upload = None
+        self._framing_bytes = 0
+        self._fed_bytes, self._unparsed_bytes = self._unparsed_bytes, 0
+        self._consumed_bytes = 0
+        held_back, self._held_back = bytes(self._held_back), bytearray()
+        self._feed(held_back)
+        if self._upgraded:
+            self._feed(self._take_tail_of_upgrade())
+        if self._upload is None:
+            # The parser may keep it as the beginning of a head.
+            lines = min(self._fed_bytes // HEAD_LINE_MIN_BYTES, HEADERS_MAX)
+            self._head_cost_bytes = head_cost_bytes(self._fed_bytes, lines)
+            self._fed_bytes = 0
+            self._account()
+        if self._buffer_paused:
+            self._resume_reading_for_buffer()
+            self._limit_read_ahead()
+
+    def _take_tail_of_upgrade(self) -> bytes:
+        """Return what stands behind a request to switch the protocol.
+
+        None is switched to.
+        """
+        assert self._parser is not None
+        self._parser.set_upgraded(False)
+        self._upgraded = False
+        tail, self._message_tail = self._message_tail, b""
+        return tail
+
+    def _account(self) -> None:
+        """Report what the connection holds."""
+        held_bytes = CONNECTION_BYTES + self._head_cost_bytes
+        held_bytes += self._unparsed_bytes + len(self._held_back) + self._reply_bytes
+        held_bytes += HEAD_COST_FACTOR * self._framing_bytes
+        if self._upload is not None:
+            held_bytes += REQUEST_BYTES + BODY_COST_FACTOR * self._upload.kept_bytes
+        if self._socket is not None:
+            held_bytes += self._socket.get_write_buffer_size()
+        self._budget.update(self, held_bytes)
 
     def _on_head_timeout(self) -> None:
-        # If the process was paused, a complete head may be waiting to be
-        # processed. Deferring the check lets `on_head_read` run first.
-        loop = asyncio.get_running_loop()
-        loop.call_soon(self._refuse_if_incomplete, HTTPStatus.REQUEST_TIMEOUT)
+        # If the process was paused, the rest of the head may be waiting to be read.
+        self._loop.call_soon(self._refuse_if_incomplete)
 
-    def _refuse_if_incomplete(self, status: HTTPStatus) -> None:
-        """Refuse a head unless `on_head_read` has run for it in the meantime."""
-        if self._is_reading_head and self._head_bytes:
-            self._refuse(status)
+    def _refuse_if_incomplete(self) -> None:
+        if self._upload is None and self._head_bytes:
+            self._refuse(HTTPStatus.REQUEST_TIMEOUT)
 
     def _refuse(self, status: HTTPStatus) -> None:
+        """Refuse a request of which no handler knows, and close the connection."""
         self._stop_timer()
         if self.transport is None or self.transport.is_closing():
             return
-        self._log.failure(
-            "head_refused", "", status=int(status), head_bytes=self._head_bytes
-        )
+        self._on_head_refused(RefusedHead(int(status), self._head_bytes))
         line = f"HTTP/1.1 {status.value} {status.phrase}\r\n"
-        fields = "Content-Length: 0\r\nConnection: close\r\n\r\n"
-        self.transport.write((line + fields).encode())
+        fields = "Content-Length: 0\r\nConnection: close\r\n"
+        if status is HTTPStatus.SERVICE_UNAVAILABLE:
+            fields += f"Retry-After: {EVICTED_RETRY_AFTER_S:.3f}\r\n"
+        self.transport.write(f"{line}{fields}\r\n".encode())
+        self._head_cost_bytes = 0
+        self.force_close()
+
+    def _close_at_once(self) -> None:
+        """Close the connection, without what waits to be sent."""
         self.force_close()
+        self._budget.remove(self)
+        if self._socket is not None and self._socket.get_write_buffer_size():
+            self._socket.abort()
 
     def _stop_timer(self) -> None:
         if self._head_timer is not None:
@@ -122,45 +446,16 @@
             self._head_timer = None
 
 
-class ConnectionServer(web.Server):
-    """Server whose connections use the limits in effect when they are opened.
-
-    Parameters
-    ----------
-    handler : callable
-        Handles one request.
-    limits : callable
-        Returns the current limits.
-    log : DecisionLog
-        Log in which refused heads are recorded.
-    request_factory : callable
-        Creates the request object for a parsed head.
-    """
-
-    def __init__(
-        self,
-        handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
-        limits: Callable[[], CallerLimits],
-        log: DecisionLog,
-        request_factory: Callable[..., web.BaseRequest],
-    ) -> None:
-        super().__init__(
-            handler,
-            request_factory=request_factory,
-            handler_cancellation=True,
-        )
-        self._limits = limits
-        self._decisions = log
-
-    def __call__(self) -> web.RequestHandler:
-        """Return the protocol of a new connection."""
-        return CallerConnection(self, self._limits(), self._decisions)
-
-
-def head_bytes(request: web.BaseRequest) -> int:
+def head_bytes(
+    method: str, target: str, raw_headers: Iterable[tuple[bytes, bytes]]
+) -> int:
     """Return the size in bytes of the request line and the headers, as received."""
-    separators = len(": \r\n")
     fields = sum(
-        len(name) + len(value) + separators for name, value in request.raw_headers
+        len(name) + len(value) + SEPARATOR_BYTES for name, value in raw_headers
     )
-    return fields + len(request.method) + len(request.raw_path)
+    return fields + len(method) + len(target) + REQUEST_LINE_REST_BYTES
+
+
+def head_cost_bytes(size_bytes: int, lines: int) -> int:
+    """Return the memory that a head of the given size takes."""
+    return HEAD_COST_FACTOR * size_bytes + HEAD_LINE_BYTES * lines
--- a/src/boragespring/platform/http_server.py
+++ b/src/boragespring/platform/http_server.py
@@ -24,11 +24,20 @@
     RequestTracker,
     UnansweredRequests,
 )
+from boragespring.http.caller_budget import CallerBudget
 from boragespring.http.caller_connection import (
+    EVICTED_RETRY_AFTER_S,
     CallerConnection,
-    ConnectionServer,
+    ConnectionLimits,
+    RefusedHead,
     head_bytes,
 )
+from boragespring.http.connection_server import ConnectionServer
+from boragespring.http.upload import (
+    UploadEvictedError,
+    UploadMalformedError,
+    UploadTooLargeError,
+)
 from boragespring.platform import names
 from boragespring.platform.caller_reply import HttpCallerReply
 from boragespring.settings import AddressSettings
@@ -48,6 +57,13 @@
 NUMBER_MAX_DIGITS = 12
 
 
+OUT_OF_MEMORY = Refusal(
+    RefusalReason.OUT_OF_MEMORY,
+    was_not_run=True,
+    retry_after_s=EVICTED_RETRY_AFTER_S,
+)
+
+
 class RequestHandler(Protocol):
     """Handler of parsed requests."""
 
@@ -77,6 +93,8 @@
         Log of refused request heads.
     unanswered : UnansweredRequests
         Limits the time in which the body of a request arrives.
+    budget : CallerBudget
+        Memory and connections of all callers.
 
     Attributes
     ----------
@@ -95,10 +113,12 @@
         tracker: RequestTracker,
         log: DecisionLog,
         unanswered: UnansweredRequests,
+        budget: CallerBudget,
     ) -> None:
         self._tracker = tracker
         self._log = log
         self._unanswered = unanswered
+        self._budget = budget
         self._address = address
         self._forwarder = forwarder
         self._limits = limits
@@ -111,12 +131,20 @@
     async def start(self) -> None:
         """Start listening for connections."""
         server = ConnectionServer(
-            self._handle, self._limits, self._log, self._build_request
+            self._handle,
+            self._connection_limits,
+            self._budget,
+            self._log_refused_head,
+            self._build_request,
         )
         self._runner = web.ServerRunner(server, shutdown_timeout=0.1)
         await self._runner.setup()
         site = web.TCPSite(
-            self._runner, self._address.host, self._address.port, reuse_address=True
+            self._runner,
+            self._address.host,
+            self._address.port,
+            reuse_address=True,
+            backlog=self._budget.settings.backlog,
         )
         await site.start()
         self._site = site
@@ -138,6 +166,20 @@
         if self._runner is not None:
             await self._runner.cleanup()
 
+    def _connection_limits(self) -> ConnectionLimits:
+        limits = self._limits()
+        return ConnectionLimits(
+            limits.header_bytes,
+            limits.body_bytes,
+            limits.header_timeout_s,
+            limits.idle_timeout_s,
+        )
+
+    def _log_refused_head(self, head: RefusedHead) -> None:
+        self._log.failure(
+            "head_refused", "", status=head.status, head_bytes=head.head_bytes
+        )
+
     def _build_request(
         self,
         message: RawRequestMessage,
@@ -146,8 +188,6 @@
         writer: AbstractStreamWriter,
         task: "asyncio.Task[None]",
     ) -> web.BaseRequest:
-        if isinstance(protocol, CallerConnection):
-            protocol.on_head_read()
         return web.BaseRequest(
             message,
             payload,
@@ -155,7 +195,6 @@
             writer,
             task,
             asyncio.get_running_loop(),
-            client_max_size=self._limits().body_bytes,
         )
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -179,11 +218,6 @@
             self._end_tracking(request, progress)
             self.in_progress -= 1
             self._request_finished.set()
-            is_body_read = request.content.is_eof()
-            if is_body_read and isinstance(request.protocol, CallerConnection):
-                # Otherwise the connection would count the unread rest of a refused
-                # body as the head of the next request.
-                request.protocol.on_request_handled()
         return caller.response or web.Response(status=500)
 
     async def _parse(
@@ -195,17 +229,25 @@
         refusal = self._forwarder.refuse_early(head)
         if refusal is not None:
             return refusal
-        body = await self._read_body(request, progress)
+        connection = _connection_of(request)
+        progress.hold_reply = connection.hold_reply
+        if connection.is_out_of_memory:
+            return OUT_OF_MEMORY
+        body = await self._read_body(connection, progress)
         return body if isinstance(body, Refusal) else evolve(head, body=body)
 
     async def _read_body(
-        self, request: web.BaseRequest, progress: RequestProgress
+        self, connection: CallerConnection, progress: RequestProgress
     ) -> bytes | Refusal:
         try:
             async with self._unanswered.limit(progress.deadline_s):
-                return await request.read()
-        except web.HTTPRequestEntityTooLarge:
+                return await connection.upload.read()
+        except UploadTooLargeError:
             return Refusal(RefusalReason.TOO_LARGE, was_not_run=True)
+        except UploadMalformedError:
+            return Refusal(RefusalReason.BAD_REQUEST, was_not_run=True)
+        except UploadEvictedError:
+            return OUT_OF_MEMORY
         except TimeoutError:
             if self._unanswered.has_ended:
                 return self._unanswered.refusal(was_not_run=True)
@@ -221,18 +263,24 @@
     def _end_tracking(
         self, request: web.BaseRequest, progress: RequestProgress
     ) -> None:
-        connection = request.protocol
-        if isinstance(connection, CallerConnection) and connection.is_lost:
+        if _connection_of(request).is_lost:
             progress.has_caller_left = True
         self._tracker.interrupted(progress)
 
 
+def _connection_of(request: web.BaseRequest) -> CallerConnection:
+    connection = request.protocol
+    assert isinstance(connection, CallerConnection)
+    return connection
+
+
 def _parse_head(
     request: web.BaseRequest, progress: RequestProgress, limits: CallerLimits
 ) -> CallerRequest | Refusal:
     """Return a request without its body."""
     headers = request.headers
-    if head_bytes(request) > limits.header_bytes:
+    size_bytes = head_bytes(request.method, request.raw_path, request.raw_headers)
+    if size_bytes > limits.header_bytes:
         return Refusal(RefusalReason.HEAD_TOO_LARGE, was_not_run=True)
     request_id = headers.get(names.REQUEST_ID, "")
     is_addressed = request_id and request.raw_path.startswith("/")
--- a/src/boragespring/platform/tests/unruly_callers.py
+++ b/src/boragespring/platform/tests/unruly_callers.py
@@ -74,8 +74,9 @@
             code = await self.processes.wait(self.name, 0.01)
             raise AssertionError(f"ended with {code}: {self.processes}")
         peak_mb = self.peak_memory_bytes() / MEGABYTE
-        assert peak_mb <= self.limits.memory_mb, f"peak memory of {peak_mb:.0f} MB"
         count = self.descriptors()
+        print(f"peak memory of {peak_mb:.0f} MB, {count} open descriptors")
+        assert peak_mb <= self.limits.memory_mb, f"peak memory of {peak_mb:.0f} MB"
         assert count <= self.limits.file_descriptors, f"{count} open descriptors"
 
 
