Fix: all connections of callers share one budget of memory

Callers saw: a gateway ended, out of memory, as many bodies waited for their last bytes. Cause: each body may take what the configuration allows (4 MiB), and nothing bounded all of them; the memory that the settings give (limits.memory_mb) was not even read. Change: each connection reports the cost of its objects. Callers may hold half of what a program without callers leaves. Beyond it, connections that wait for their callers are evicted, those first that hold most for longest: an unfinished head or body is refused as not run, with Retry-After, others are closed. What runs at a server is never evicted; a request that finds no room is refused (out_of_memory). caller_evicted in the log, a counter, gauges of bytes and connections, callers_limited at the start.

--- a/src/boragespring/composition/gateway.py
+++ b/src/boragespring/composition/gateway.py
@@ -4,7 +4,6 @@
 of the platform on which it runs.
 """
 
-import sys
 import time
 from collections.abc import Callable
 from functools import partial
@@ -14,6 +13,7 @@
 from prometheus_client import CollectorRegistry
 
 from boragespring.catalog import CallerLimits, CatalogHolder
+from boragespring.composition.gateway_callers import build_caller_budget
 from boragespring.composition.gateway_peers import GatewayPeers, build_gateway_peers
 from boragespring.composition.gateway_store import build_store_sync
 from boragespring.decisions import DecisionLog
@@ -52,7 +52,6 @@
     WatchRotation,
 )
 from boragespring.http.admin import HttpServer, admin_routes
-from boragespring.http.caller_budget import CallerBudget, CallerBudgetSettings
 from boragespring.metrics.gateway import GatewayMetrics
 from boragespring.outliers import OutlierDetector, OutlierSettings
 from boragespring.platform.http_server import GatewayHttpServer
@@ -174,6 +173,7 @@
         validator.apply(_validator_settings(bounds))
         retry_budget.apply(_retry_budget_settings(bounds))
 
+    budget = build_caller_budget(settings.process, metrics, log)
     gateway = Gateway(
         # HTTP server for the requests of the callers.
         callers=GatewayHttpServer(
@@ -183,8 +183,7 @@
             tracker,
             log,
             context.unanswered,
-            # What connections hold is counted, and not limited yet.
-            CallerBudget(CallerBudgetSettings(sys.maxsize, sys.maxsize)),
+            budget,
         ),
         listeners=[peers.server],
         loops=(
--- a/src/boragespring/http/caller_budget.py
+++ b/src/boragespring/http/caller_budget.py
@@ -12,6 +12,8 @@
 
 from attrs import define, field, frozen
 
+from boragespring.settings import ProcessSettings
+
 __all__ = [
     "BudgetUser",
     "CallerBudget",
@@ -19,8 +21,18 @@
     "CallerState",
     "Eviction",
     "EvictionReason",
+    "budget_settings",
 ]
 
+#: Memory that a process without callers takes.
+PROGRAM_BYTES = 64 * 2**20
+#: Part of the rest that callers may use; what remains is for fragmentation, copies in
+#: progress and the state of the deployment.
+CALLERS_SHARE = 0.5
+#: Least budget: the largest body that the usual limits allow, twice, with its request.
+MEMORY_MIN_BYTES = 10 * 2**20
+#: Part of the descriptors that connections of callers may use.
+DESCRIPTORS_SHARE = 0.5
 BACKLOG_MAX = 128
 #: Part of the budget down to which connections are evicted, so that it is done seldom.
 LOW_WATER_SHARE = 0.9
@@ -73,6 +85,15 @@
         return max(1, min(BACKLOG_MAX, self.connections_max // 4))
 
 
+def budget_settings(process: ProcessSettings) -> CallerBudgetSettings:
+    """Return what callers may use of the resources of a process."""
+    free_bytes = max(process.memory_bytes - PROGRAM_BYTES, 0)
+    return CallerBudgetSettings(
+        memory_max_bytes=max(round(CALLERS_SHARE * free_bytes), MEMORY_MIN_BYTES),
+        connections_max=max(round(DESCRIPTORS_SHARE * process.file_descriptors), 1),
+    )
+
+
 class BudgetUser(Protocol):
     """Connection of a caller."""
 
@@ -148,8 +169,6 @@
 
     def add(self, user: BudgetUser) -> None:
         """Count a new connection; evict another one if there are too many."""
-        if len(self._users) >= self.settings.connections_max:
-            self._evict_longest_waiting()
         self._users[user] = 0
 
     def remove(self, user: BudgetUser) -> None:
--- a/src/boragespring/metrics/gateway.py
+++ b/src/boragespring/metrics/gateway.py
@@ -67,6 +67,13 @@
             ("outcome",),
             registry=registry,
         )
+        self._evicted = Counter(
+            "boragespring_gateway_evicted_callers",
+            "Connections of callers that were evicted, by what there was too little of"
+            " and what they waited for.",
+            ("reason", "state"),
+            registry=registry,
+        )
         self._held_back = Counter(
             "boragespring_gateway_starts_held_back",
             "Placements at which a cold server took no further request.",
@@ -110,6 +117,10 @@
         """Count a retry on another server, by the outcome of the previous attempt."""
         self._retries.labels(outcome).inc()
 
+    def record_evicted(self, reason: str, state: str) -> None:
+        """Count a connection that was evicted."""
+        self._evicted.labels(reason, state).inc()
+
     def record_held_back(self) -> None:
         """Count a placement at which the rate of a cold server was used up."""
         self._held_back.inc()
--- a/src/boragespring/platform/settings_file.py
+++ b/src/boragespring/platform/settings_file.py
@@ -20,6 +20,7 @@
 from boragespring.settings import (
     AddressSettings,
     LinkSettings,
+    ProcessSettings,
     Range,
     SettingsFileError,
     structure,
@@ -48,6 +49,9 @@
 )
 
 
+MEGABYTE = 10**6
+DEFAULT_PROCESS = ProcessSettings()
+
 _Name = Annotated[str, Check(check_name)]
 _Amount = Annotated[float, Range(0.0, INTEGER_MAX)]
 
@@ -85,6 +89,12 @@
     # of the reference machine's.
     cpu_share: _Amount = 1.0
     cores: _Amount = 1.0
+    memory_mb: Annotated[float, Range(1, INTEGER_MAX)] = (
+        DEFAULT_PROCESS.memory_bytes / MEGABYTE
+    )
+    file_descriptors: Annotated[int, Range(1, INTEGER_MAX)] = (
+        DEFAULT_PROCESS.file_descriptors
+    )
 
 
 @frozen
@@ -157,6 +167,10 @@
         bounds=_gateway_bounds(wire.bounds),
         links=PEER_LINK_SETTINGS,
         cpu_cores=wire.limits.cpu_share * wire.limits.cores,
+        process=ProcessSettings(
+            memory_bytes=round(wire.limits.memory_mb * MEGABYTE),
+            file_descriptors=wire.limits.file_descriptors,
+        ),
         ejects_outliers=HEALTH_CONTRACT in (wire.contracts or ()),
         seeds=tuple(
             AddressSettings(host, wire.internal_ports[0])
--- a/src/boragespring/settings/__init__.py
+++ b/src/boragespring/settings/__init__.py
@@ -6,6 +6,7 @@
     LinkSettings,
     PlacementSettings,
     PlatformSettings,
+    ProcessSettings,
     WeightSettings,
 )
 from boragespring.settings.entry import (
@@ -39,6 +40,7 @@
     "LinkSettings",
     "PlacementSettings",
     "PlatformSettings",
+    "ProcessSettings",
     "QueueSettings",
     "Range",
     "ServerSettings",
--- a/src/boragespring/settings/common.py
+++ b/src/boragespring/settings/common.py
@@ -2,13 +2,23 @@
 
 from attrs import frozen
 
-from boragespring.settings.types import Fraction, Name, PerSecond, Port, Seconds, Text
+from boragespring.settings.types import (
+    Bytes,
+    Count,
+    Fraction,
+    Name,
+    PerSecond,
+    Port,
+    Seconds,
+    Text,
+)
 
 __all__ = [
     "AddressSettings",
     "LinkSettings",
     "PlacementSettings",
     "PlatformSettings",
+    "ProcessSettings",
     "WeightSettings",
 ]
 
@@ -73,6 +83,22 @@
     store_reads_per_s: PerSecond = 100.0
 
 
+@frozen
+class ProcessSettings:
+    """What a process may use of its machine.
+
+    Parameters
+    ----------
+    memory_bytes : int
+        Memory in bytes beyond which the process is ended.
+    file_descriptors : int
+        Maximum number of open descriptors.
+    """
+
+    memory_bytes: Bytes = 512 * 10**6
+    file_descriptors: Count = 4096
+
+
 @frozen
 class LinkSettings:
     """Heartbeats and timeouts of the links between processes.
--- a/src/boragespring/settings/gateway.py
+++ b/src/boragespring/settings/gateway.py
@@ -2,7 +2,11 @@
 
 from attrs import frozen
 
-from boragespring.settings.common import AddressSettings, LinkSettings
+from boragespring.settings.common import (
+    AddressSettings,
+    LinkSettings,
+    ProcessSettings,
+)
 
 __all__ = ["GatewayBounds", "GatewaySettings", "GatewayStoreSettings"]
 
@@ -82,6 +86,8 @@
         Heartbeats and timeouts of the links between gateways.
     cpu_cores : float
         Processing capacity of the instance, in cores of the reference machine.
+    process : ProcessSettings
+        Memory and descriptors of the instance.
     ejects_outliers : bool
         Whether backend servers are judged by the outcomes of their requests, as their
         health checks cannot be relied on.
@@ -99,4 +105,5 @@
     seeds: tuple[AddressSettings, ...] = ()
     links: LinkSettings = LinkSettings()
     cpu_cores: float = 1.0
+    process: ProcessSettings = ProcessSettings()
     ejects_outliers: bool = False
