Fix: a gateway keeps descriptors free, however many connections callers open

Callers saw: no connection to be had, as others that sent nothing held all descriptors; the gateway could then reach neither its servers nor the store. Cause: connections were accepted without a limit, and the descriptors that the settings give (limits.file_descriptors) were not read. A connection beyond that takes the place of the one that has waited longest for its caller; an unfinished request on it is refused as not run.

--- a/src/boragespring/http/caller_budget.py
+++ b/src/boragespring/http/caller_budget.py
@@ -169,6 +169,8 @@
 
     def add(self, user: BudgetUser) -> None:
         """Count a new connection; evict another one if there are too many."""
+        if len(self._users) >= self.settings.connections_max:
+            self._evict_longest_waiting()
         self._users[user] = 0
 
     def remove(self, user: BudgetUser) -> None:
