Fix: the callers of an entry, and all its connections, share one budget of memory

Callers saw: an entry ended, out of memory, by the same crowds as a gateway. Cause: the same. Its server kept the defaults of the library: 32 requests ahead, heads of a mebibyte, no limit on trailers, connections or memory; the entry had no setting for either. Change: all HTTP servers of the programs use the bounded connection: the entry's, and those for readiness, health and metrics, which share the budget of their process. New settings with defaults: process.memory_bytes, process.file_descriptors, callers.header_max_bytes, .header_timeout_s, .idle_timeout_s. An entry without memory refuses as not run (out_of_memory, 503); memory_tight at the start.

--- a/src/boragespring/composition/entry.py
+++ b/src/boragespring/composition/entry.py
@@ -5,6 +5,7 @@
 from prometheus_client import CollectorRegistry
 
 from boragespring.composition.entry_answers import build_answers
+from boragespring.composition.entry_callers import build_caller_server
 from boragespring.composition.entry_claims import EntryClaimWrites
 from boragespring.composition.entry_duties import EntryDuties
 from boragespring.composition.entry_limits import EntryLimits
@@ -21,7 +22,7 @@
 from boragespring.entry.lists_accounts import ListsAccounts
 from boragespring.entry.problems import problem_middleware
 from boragespring.entry.services import ServiceHandlers
-from boragespring.http import HttpServer, admin_routes
+from boragespring.http import admin_routes
 from boragespring.limits import RequestLimiter, Unlimited
 from boragespring.links import Dispatcher, LinkContext, LinkServer
 from boragespring.metrics import AnswerMetrics, LinkMetrics
@@ -140,7 +141,7 @@
     links = LinkServer(settings.link, context)
     return EntryDaemon(
         settings,
-        HttpServer(settings.http, app),
+        build_caller_server(settings, app, registry),
         links,
         peers,
         answers.table,
--- a/src/boragespring/composition/gateway.py
+++ b/src/boragespring/composition/gateway.py
@@ -250,8 +250,8 @@
         lambda: float(len(quarantine.culprits)),
     )
     gateway.listeners += [
-        ReadinessServer(settings.readiness, gateway.why_not_ready),
-        HttpServer(settings.metrics, _admin_app(registry, gateway)),
+        ReadinessServer(settings.readiness, gateway.why_not_ready, budget),
+        HttpServer(settings.metrics, _admin_app(registry, gateway), budget=budget),
     ]
     return gateway
 
--- a/src/boragespring/composition/gateway_callers.py
+++ b/src/boragespring/composition/gateway_callers.py
@@ -1,8 +1,10 @@
 """Build the budget of the callers of a gateway."""
 
+from boragespring.catalog import CallerLimits
 from boragespring.decisions import DecisionLog
 from boragespring.http.caller_budget import CallerBudget, Eviction, budget_settings
 from boragespring.metrics.gateway import GatewayMetrics
+from boragespring.platform.http_server import connection_limits
 from boragespring.settings import ProcessSettings
 
 __all__ = ["build_caller_budget"]
@@ -12,7 +14,8 @@
     process: ProcessSettings, metrics: GatewayMetrics, log: DecisionLog
 ) -> CallerBudget:
     """Return the budget of all callers, which logs and counts evictions."""
-    settings = budget_settings(process)
+    largest_request_bytes = connection_limits(CallerLimits()).largest_request_bytes
+    settings = budget_settings(process, largest_request_bytes)
     budget = CallerBudget(settings)
 
     def record(eviction: Eviction) -> None:
--- a/src/boragespring/entry/gate.py
+++ b/src/boragespring/entry/gate.py
@@ -5,7 +5,8 @@
 from aiohttp import web
 from aiohttp.typedefs import Handler
 
-from boragespring.entry.problems import Problem
+from boragespring.entry.problems import Problem, out_of_memory
+from boragespring.http.collected_request import caller_connection
 
 __all__ = ["RequestGate"]
 
@@ -57,6 +58,8 @@
         if self.is_closed:
             message = "this entry is shutting down; send the request to another one"
             raise Problem(503, "leaving", message, retry_after_s=LEAVING_RETRY_AFTER_S)
+        if caller_connection(request).is_out_of_memory:
+            raise out_of_memory()
         self.in_progress += 1
         try:
             return await handler(request)
--- a/src/boragespring/entry/problems.py
+++ b/src/boragespring/entry/problems.py
@@ -7,9 +7,21 @@
 
 from boragespring.answers import AnswerError, NotRunError, RequestMismatchError
 from boragespring.errors import BoragespringError
+from boragespring.http.caller_connection import EVICTED_RETRY_AFTER_S
+from boragespring.http.upload import (
+    UploadEvictedError,
+    UploadMalformedError,
+    UploadTooLargeError,
+)
 from boragespring.limits import LimitExceededError
 
-__all__ = ["CallerTooSlowError", "Problem", "problem_from_error", "problem_middleware"]
+__all__ = [
+    "CallerTooSlowError",
+    "Problem",
+    "out_of_memory",
+    "problem_from_error",
+    "problem_middleware",
+]
 
 STATUS_BY_CODE = {
     "answer_lost": 502,
@@ -99,6 +111,16 @@
     )
 
 
+def out_of_memory() -> Problem:
+    """Return the refusal of a request for which callers hold too much memory."""
+    return Problem(
+        503,
+        "out_of_memory",
+        "callers hold too much memory at this entry; retry later",
+        retry_after_s=EVICTED_RETRY_AFTER_S,
+    )
+
+
 @web.middleware
 async def problem_middleware(
     request: web.Request, handler: Handler
@@ -115,9 +137,14 @@
         ).to_response()
     except AnswerError as error:
         return problem_from_error(error).to_response()
-    except web.HTTPRequestEntityTooLarge as error:
-        message = f"the body is too large: {error.text}"
+    except UploadTooLargeError as error:
+        message = f"the body is too large: {error}"
         return Problem(413, "body_too_large", message).to_response()
+    except UploadMalformedError as error:
+        message = f"the body cannot be read: {error}"
+        return Problem(400, "invalid_body", message).to_response()
+    except UploadEvictedError:
+        return out_of_memory().to_response()
     except web.HTTPException as error:
         return Problem(error.status, "http_error", error.reason).to_response()
 
--- a/src/boragespring/http/admin.py
+++ b/src/boragespring/http/admin.py
@@ -2,16 +2,29 @@
 
 from collections.abc import Callable
 
+from absl import logging
 from aiohttp import web
 from prometheus_client import CONTENT_TYPE_LATEST, CollectorRegistry, generate_latest
 
-from boragespring.settings import AddressSettings
+from boragespring.http.bounded_runner import BoundedAppRunner
+from boragespring.http.caller_budget import CallerBudget, budget_settings
+from boragespring.http.caller_connection import ConnectionLimits, RefusedHead
+from boragespring.settings import AddressSettings, ProcessSettings
 
 __all__ = ["HttpServer", "admin_routes"]
 
 #: Grace period in seconds for handlers at shutdown. It is short because the
 #: daemon has already drained its requests.
 SHUTDOWN_TIMEOUT_S = 0.5
+#: Limits on connections to the endpoints for operators, whose requests have no bodies.
+ADMIN_LIMITS = ConnectionLimits(
+    header_bytes=16 * 2**10,
+    body_bytes=16 * 2**10,
+    header_timeout_s=10.0,
+    idle_timeout_s=3600.0,
+)
+#: Minimum time in seconds between two log lines about refused heads.
+LOG_INTERVAL_S = 1.0
 
 ReadyCheck = Callable[[], str]
 StatusSource = Callable[[], dict[str, object]]
@@ -70,6 +83,11 @@
         Host and port to listen on; port 0 selects a free port.
     app : web.Application
         Application to serve.
+    limits : ConnectionLimits
+        Limits on each connection.
+    budget : CallerBudget or None
+        Memory and connections of all callers of the process; if None, these are the
+        only ones.
 
     Attributes
     ----------
@@ -77,14 +95,17 @@
         Port in use; 0 before `start`.
     """
 
-    def __init__(self, address: AddressSettings, app: web.Application) -> None:
+    def __init__(
+        self,
+        address: AddressSettings,
+        app: web.Application,
+        limits: ConnectionLimits = ADMIN_LIMITS,
+        budget: CallerBudget | None = None,
+    ) -> None:
         self._address = address
-        self._runner = web.AppRunner(
-            app,
-            access_log=None,
-            handle_signals=False,
-            handler_cancellation=True,
-            shutdown_timeout=SHUTDOWN_TIMEOUT_S,
+        self._budget = budget or CallerBudget(budget_settings(ProcessSettings()))
+        self._runner = BoundedAppRunner(
+            app, limits, self._budget, _log_refused_head, SHUTDOWN_TIMEOUT_S
         )
         self._site: web.TCPSite | None = None
         self.port = 0
@@ -92,7 +113,12 @@
     async def start(self) -> None:
         """Start to listen, and set `port` to the port in use."""
         await self._runner.setup()
-        site = web.TCPSite(self._runner, self._address.host, self._address.port)
+        site = web.TCPSite(
+            self._runner,
+            self._address.host,
+            self._address.port,
+            backlog=self._budget.settings.backlog,
+        )
         await site.start()
         self._site = site
         self.port = self._runner.addresses[0][1]
@@ -106,3 +132,13 @@
     async def stop(self) -> None:
         """Stop listening and close all connections."""
         await self._runner.cleanup()
+
+
+def _log_refused_head(head: RefusedHead) -> None:
+    logging.log_every_n_seconds(
+        logging.WARNING,
+        "event=head_refused status=%d head_bytes=%d",
+        LOG_INTERVAL_S,
+        head.status,
+        head.head_bytes,
+    )
--- a/src/boragespring/http/caller_budget.py
+++ b/src/boragespring/http/caller_budget.py
@@ -10,6 +10,7 @@
 from enum import StrEnum
 from typing import Protocol
 
+from absl import logging
 from attrs import define, field, frozen
 
 from boragespring.settings import ProcessSettings
@@ -29,8 +30,6 @@
 #: Part of the rest that callers may use; what remains is for fragmentation, copies in
 #: progress and the state of the deployment.
 CALLERS_SHARE = 0.5
-#: Least budget: the largest body that the usual limits allow, twice, with its request.
-MEMORY_MIN_BYTES = 10 * 2**20
 #: Part of the descriptors that connections of callers may use.
 DESCRIPTORS_SHARE = 0.5
 BACKLOG_MAX = 128
@@ -85,11 +84,29 @@
         return max(1, min(BACKLOG_MAX, self.connections_max // 4))
 
 
-def budget_settings(process: ProcessSettings) -> CallerBudgetSettings:
-    """Return what callers may use of the resources of a process."""
-    free_bytes = max(process.memory_bytes - PROGRAM_BYTES, 0)
+def budget_settings(
+    process: ProcessSettings, largest_request_bytes: int = 0
+) -> CallerBudgetSettings:
+    """Return what callers may use of the resources of a process.
+
+    Parameters
+    ----------
+    process : ProcessSettings
+        Resources of the process.
+    largest_request_bytes : int
+        Cost in memory of the largest request that is allowed. One such request is
+        served also where the process has too little memory; a warning says so.
+    """
+    free_bytes = process.memory_bytes - PROGRAM_BYTES
+    if free_bytes < largest_request_bytes:
+        logging.warning(
+            "event=memory_tight memory_bytes=%d needed_bytes=%d",
+            process.memory_bytes,
+            PROGRAM_BYTES + largest_request_bytes,
+        )
+    memory_max_bytes = max(round(CALLERS_SHARE * free_bytes), largest_request_bytes)
     return CallerBudgetSettings(
-        memory_max_bytes=max(round(CALLERS_SHARE * free_bytes), MEMORY_MIN_BYTES),
+        memory_max_bytes=memory_max_bytes,
         connections_max=max(round(DESCRIPTORS_SHARE * process.file_descriptors), 1),
     )
 
--- a/src/boragespring/http/caller_connection.py
+++ b/src/boragespring/http/caller_connection.py
@@ -52,13 +52,13 @@
 HEAD_LINE_MIN_BYTES = len("a:\r\n")
 
 #: Cost in memory of a connection, of a request that is handled, of each line of a head,
-#: and of each byte of a head and of a body. Heads are kept as received and decoded, and
-#: bodies are copied on their way to a server.
+#: and of each byte of a head, which is kept as received and decoded.
 CONNECTION_BYTES = 6 * 2**10
 REQUEST_BYTES = 24 * 2**10
 HEAD_LINE_BYTES = 200
 HEAD_COST_FACTOR = 4
-BODY_COST_FACTOR = 2
+#: Cost of each byte of a body that is copied on its way to a server.
+COPIED_BODY_COST_FACTOR = 2
 
 
 @frozen
@@ -76,12 +76,22 @@
         headers.
     idle_timeout_s : float
         Maximum time in seconds for which a connection may be idle between two requests.
+    body_cost_factor : int
+        Cost in memory of each byte of a body that is handled.
     """
 
     header_bytes: int
     body_bytes: int
     header_timeout_s: float
     idle_timeout_s: float
+    body_cost_factor: int = COPIED_BODY_COST_FACTOR
+
+    @property
+    def largest_request_bytes(self) -> int:
+        """Cost in memory of the largest request on a connection of its own."""
+        head_bytes = head_cost_bytes(self.header_bytes, HEADERS_MAX)
+        body_bytes = self.body_cost_factor * (self.body_bytes + RECEIVE_BYTES)
+        return CONNECTION_BYTES + REQUEST_BYTES + head_bytes + body_bytes
 
 
 @frozen
@@ -406,7 +416,8 @@
         held_bytes += self._unparsed_bytes + len(self._held_back) + self._reply_bytes
         held_bytes += HEAD_COST_FACTOR * self._framing_bytes
         if self._upload is not None:
-            held_bytes += REQUEST_BYTES + BODY_COST_FACTOR * self._upload.kept_bytes
+            body_bytes = self._limits.body_cost_factor * self._upload.kept_bytes
+            held_bytes += REQUEST_BYTES + body_bytes
         if self._socket is not None:
             held_bytes += self._socket.get_write_buffer_size()
         self._budget.update(self, held_bytes)
--- a/src/boragespring/http/tests/test_caller_budget.py
+++ b/src/boragespring/http/tests/test_caller_budget.py
@@ -4,7 +4,6 @@
 from attrs import define
 
 from boragespring.http.caller_budget import (
-    MEMORY_MIN_BYTES,
     CallerBudget,
     CallerBudgetSettings,
     CallerState,
@@ -107,10 +106,10 @@
 
 @pytest.mark.parametrize(
     ("memory_mb", "expected_bytes"),
-    [(60, MEMORY_MIN_BYTES), (128, (128 * 10**6 - 64 * 2**20) // 2)],
+    [(60, 10**7), (128, (128 * 10**6 - 64 * 2**20) // 2)],
 )
 def test_budget_follows_the_memory_of_the_process(memory_mb, expected_bytes):
     process = ProcessSettings(memory_mb * 10**6, 300)
-    settings = budget_settings(process)
+    settings = budget_settings(process, 10**7)
     assert settings.memory_max_bytes == expected_bytes
     assert settings.connections_max == 150
--- a/src/boragespring/platform/http_server.py
+++ b/src/boragespring/platform/http_server.py
@@ -32,6 +32,7 @@
     RefusedHead,
     head_bytes,
 )
+from boragespring.http.collected_request import caller_connection
 from boragespring.http.connection_server import ConnectionServer
 from boragespring.http.upload import (
     UploadEvictedError,
@@ -42,7 +43,7 @@
 from boragespring.platform.caller_reply import HttpCallerReply
 from boragespring.settings import AddressSettings
 
-__all__ = ["GatewayHttpServer", "RequestHandler"]
+__all__ = ["GatewayHttpServer", "RequestHandler", "connection_limits"]
 
 #: Remaining time assumed for a request that does not state it, or no usable one.
 DEFAULT_TIME_REMAINING_S = 60.0
@@ -132,7 +133,7 @@
         """Start listening for connections."""
         server = ConnectionServer(
             self._handle,
-            self._connection_limits,
+            lambda: connection_limits(self._limits()),
             self._budget,
             self._log_refused_head,
             self._build_request,
@@ -166,15 +167,6 @@
         if self._runner is not None:
             await self._runner.cleanup()
 
-    def _connection_limits(self) -> ConnectionLimits:
-        limits = self._limits()
-        return ConnectionLimits(
-            limits.header_bytes,
-            limits.body_bytes,
-            limits.header_timeout_s,
-            limits.idle_timeout_s,
-        )
-
     def _log_refused_head(self, head: RefusedHead) -> None:
         self._log.failure(
             "head_refused", "", status=head.status, head_bytes=head.head_bytes
@@ -229,7 +221,7 @@
         refusal = self._forwarder.refuse_early(head)
         if refusal is not None:
             return refusal
-        connection = _connection_of(request)
+        connection = caller_connection(request)
         progress.hold_reply = connection.hold_reply
         if connection.is_out_of_memory:
             return OUT_OF_MEMORY
@@ -263,15 +255,19 @@
     def _end_tracking(
         self, request: web.BaseRequest, progress: RequestProgress
     ) -> None:
-        if _connection_of(request).is_lost:
+        if caller_connection(request).is_lost:
             progress.has_caller_left = True
         self._tracker.interrupted(progress)
 
 
-def _connection_of(request: web.BaseRequest) -> CallerConnection:
-    connection = request.protocol
-    assert isinstance(connection, CallerConnection)
-    return connection
+def connection_limits(limits: CallerLimits) -> ConnectionLimits:
+    """Return the limits on a connection by those of a configuration."""
+    return ConnectionLimits(
+        limits.header_bytes,
+        limits.body_bytes,
+        limits.header_timeout_s,
+        limits.idle_timeout_s,
+    )
 
 
 def _parse_head(
--- a/src/boragespring/platform/readiness.py
+++ b/src/boragespring/platform/readiness.py
@@ -4,6 +4,8 @@
 
 from aiohttp import web
 
+from boragespring.http.admin import HttpServer
+from boragespring.http.caller_budget import CallerBudget
 from boragespring.platform.names import READY_PATH
 from boragespring.settings import AddressSettings
 
@@ -20,25 +22,28 @@
     why_not_ready : callable
         Returns the reason why the process is not ready, or an empty string if
         it is ready to serve callers.
+    budget : CallerBudget
+        Memory and connections of all callers of the process.
     """
 
     def __init__(
-        self, address: AddressSettings, why_not_ready: Callable[[], str]
+        self,
+        address: AddressSettings,
+        why_not_ready: Callable[[], str],
+        budget: CallerBudget,
     ) -> None:
-        self._address = address
         self._why_not_ready = why_not_ready
         app = web.Application()
         app.router.add_get(READY_PATH, self._handle_readiness)
-        self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+        self._server = HttpServer(address, app, budget=budget)
 
     async def start(self) -> None:
         """Start listening for connections."""
-        await self._runner.setup()
-        await web.TCPSite(self._runner, self._address.host, self._address.port).start()
+        await self._server.start()
 
     async def stop(self) -> None:
         """Stop listening."""
-        await self._runner.cleanup()
+        await self._server.stop()
 
     async def _handle_readiness(self, _: web.Request) -> web.Response:
         reason = self._why_not_ready()
--- a/src/boragespring/settings/entry.py
+++ b/src/boragespring/settings/entry.py
@@ -9,6 +9,7 @@
     LinkSettings,
     PlacementSettings,
     PlatformSettings,
+    ProcessSettings,
     WeightSettings,
 )
 from boragespring.settings.types import Bytes, Count, Name, Seconds
@@ -24,6 +25,13 @@
     ----------
     body_max_bytes : int
         Maximum size of a request body, in bytes.
+    header_max_bytes : int
+        Maximum size of the request line and the headers, in bytes.
+    header_timeout_s : float
+        Maximum time in seconds from the first byte of a request to the end of its
+        headers.
+    idle_timeout_s : float
+        Time in seconds without a request after which a connection is closed.
     max_tokens_max : int
         Maximum value of ``max_tokens`` that a request is allowed to specify.
     max_tokens_default : int
@@ -42,6 +50,9 @@
     """
 
     body_max_bytes: Bytes = 4 * 2**20
+    header_max_bytes: Bytes = 64 * 2**10
+    header_timeout_s: Seconds = 60.0
+    idle_timeout_s: Seconds = 3600.0
     max_tokens_max: Count = 131_072
     max_tokens_default: Count = 1024
     deadline_default_s: Seconds = 3600.0
@@ -124,6 +135,8 @@
         Heartbeats and timeouts of the links.
     callers : CallerSettings
         Limits on the requests and the pace of one caller.
+    process : ProcessSettings
+        Memory and descriptors of the process, half of which callers may use.
     claims : ClaimSettings
         Claims of requests that must run at most once.
     weights : WeightSettings
@@ -146,6 +159,7 @@
     platform: PlatformSettings
     links: LinkSettings = Factory(LinkSettings)
     callers: CallerSettings = Factory(CallerSettings)
+    process: ProcessSettings = Factory(ProcessSettings)
     claims: ClaimSettings = Factory(ClaimSettings)
     weights: WeightSettings = Factory(WeightSettings)
     routing: RoutingSettings = Factory(RoutingSettings)
