Fix: an entry refuses bodies that are small as text and large as objects

Callers would have seen: an entry ended, out of memory, by a few whole bodies within the limit. Cause: 4 MiB of [] or {} become a million objects or more as they are parsed. Change: a body may have 200,000 strings, commas and opening brackets outside strings; more is refused (invalid_json) before it is parsed, by a scan that keeps nothing.

--- a/src/boragespring/composition/tests/test_unruly_callers.py
+++ b/src/boragespring/composition/tests/test_unruly_callers.py
@@ -104,6 +104,16 @@
     await bear(tmp_path, ([head(PATHS[0]), *body] for _ in range(100)))
 
 
+# Guards against bodies that are small as text and large as objects.
+@pytest.mark.parametrize("value", [b"[]", b'{"a":{}}', b'""'])
+async def test_bodies_of_many_values(tmp_path, value):
+    count = 4000 * KILOBYTE // (len(value) + 1)
+    values = b",".join([value] * count)
+    body = b'{"model":"rutas-1","prompt":"x","max_tokens":4,"logit_bias":[%s]}' % values
+    first = head(PATHS[0], f"Content-Length: {len(body)}") + body
+    await bear(tmp_path, ([first] for _ in range(4)))
+
+
 # Guards against connections that take all descriptors of the process.
 async def test_connections_beyond_the_descriptors(tmp_path):
     await bear(tmp_path, ([b""] for _ in range(900)))
--- a/src/boragespring/entry/requests.py
+++ b/src/boragespring/entry/requests.py
@@ -1,6 +1,8 @@
 """Parsing and validation of request bodies of the OpenAI-compatible API."""
 
+import itertools
 import json
+import re
 from collections.abc import Mapping
 from typing import Any
 
@@ -18,6 +20,10 @@
 __all__ = ["CompletionRequest", "read_chat_request", "read_completion_request"]
 
 CHARACTERS_PER_TOKEN = 4
+#: Maximum number of marks in a body; each value, which becomes an object, has one.
+MARKS_MAX = 200_000
+#: A string, closed or not, or a comma or opening bracket outside strings.
+MARK = re.compile(rb'[,[{]|"[^"\\]*+(?:\\.[^"\\]*+)*+(?:"|\\?\Z)', re.DOTALL)
 
 
 @frozen
@@ -55,6 +61,7 @@
 
 async def _read_body(request: web.Request) -> Mapping[str, Any]:
     raw_body = await request.read()
+    _check_size_as_objects(raw_body)
     try:
         body = json.loads(raw_body)
     except (ValueError, RecursionError) as error:
@@ -65,6 +72,19 @@
     return body
 
 
+def _check_size_as_objects(raw_body: bytes) -> None:
+    """Raise `Problem` if a body holds so much that its objects are too large."""
+    if len(raw_body) < MARKS_MAX:
+        return
+    marks = MARK.finditer(raw_body)
+    if next(itertools.islice(marks, MARKS_MAX, None), None) is not None:
+        message = (
+            f"the body must have no more than {MARKS_MAX} strings, and commas and"
+            " opening brackets outside them"
+        )
+        raise Problem(400, "invalid_json", message)
+
+
 def _parse_text(body: Mapping[str, Any], field: str) -> str:
     value = body.get(field)
     if not isinstance(value, str) or not value:
--- a/src/boragespring/entry/tests/test_request_bodies.py
+++ b/src/boragespring/entry/tests/test_request_bodies.py
@@ -3,12 +3,17 @@
 import asyncio
 import json
 
+import pytest
 from hypothesis import example, given
 from hypothesis import strategies as st
 
 from boragespring.answers.messages import SubmitGeneration
 from boragespring.entry.problems import Problem
-from boragespring.entry.requests import read_chat_request, read_completion_request
+from boragespring.entry.requests import (
+    _check_size_as_objects,
+    read_chat_request,
+    read_completion_request,
+)
 from boragespring.entry.sampling import _RULES
 from boragespring.links.codec import FrameDecoder, encode
 from boragespring.settings import CallerSettings
@@ -89,3 +94,27 @@
     request = read_or_reject(read_chat_request, raw_body)
     if request is not None:
         check_link_round_trip(request)
+
+
+# Guards against bodies that are small as text and large as objects.
+@pytest.mark.parametrize(
+    ("inner", "is_allowed"),
+    [
+        (b'"' + b"," * 3_000_000 + b'"', True),
+        (b'"' + b'\\"[' * 1_000_000 + b'"', True),
+        (b"[" + b"1," * 90_000 + b"1]", True),
+        (b"[" + b"[]," * 200_000 + b"1]", False),
+        (b"[" + b'"",' * 200_000 + b"1]", False),
+        (b"[" + b'{"a":1},' * 100_000 + b"1]", False),
+        # Neither ends, which must not cost time by the square of their length.
+        (b'"\\' * 1_000_000, True),
+        (b'"' * 3_000_000, False),
+    ],
+)
+def test_bodies_of_many_objects_are_refused(inner, is_allowed):
+    body = b'{"prompt":' + inner + b"}"
+    if is_allowed:
+        _check_size_as_objects(body)
+        return
+    with pytest.raises(Problem):
+        _check_size_as_objects(body)
