Fix: a caller that leaves is noticed after a body in many chunks as well

Callers would have seen: work that goes on for half a second or more after they left (GONE). Cause: what waits behind a request was estimated as all that is neither head nor body, so the framing of many chunks counted too; reading then stopped while the request ran, and the end of the connection was not seen. It also counted in the budget.

--- a/src/boragespring/composition/entry_callers.py
+++ b/src/boragespring/composition/entry_callers.py
@@ -6,7 +6,7 @@
 
 from boragespring.http import HttpServer
 from boragespring.http.caller_budget import CallerBudget, Eviction, budget_settings
-from boragespring.http.caller_connection import ConnectionLimits
+from boragespring.http.connection_limits import ConnectionLimits
 from boragespring.settings import CallerSettings, EntrySettings
 
 __all__ = ["build_caller_server"]
--- a/src/boragespring/entry/problems.py
+++ b/src/boragespring/entry/problems.py
@@ -7,7 +7,7 @@
 
 from boragespring.answers import AnswerError, NotRunError, RequestMismatchError
 from boragespring.errors import BoragespringError
-from boragespring.http.caller_connection import EVICTED_RETRY_AFTER_S
+from boragespring.http.raw_refusal import EVICTED_RETRY_AFTER_S
 from boragespring.http.upload import (
     UploadEvictedError,
     UploadMalformedError,
--- a/src/boragespring/http/admin.py
+++ b/src/boragespring/http/admin.py
@@ -8,7 +8,8 @@
 
 from boragespring.http.bounded_runner import BoundedAppRunner
 from boragespring.http.caller_budget import CallerBudget, budget_settings
-from boragespring.http.caller_connection import ConnectionLimits, RefusedHead
+from boragespring.http.connection_limits import ConnectionLimits
+from boragespring.http.raw_refusal import RefusedHead
 from boragespring.settings import AddressSettings, ProcessSettings
 
 __all__ = ["HttpServer", "admin_routes"]
--- a/src/boragespring/http/bounded_runner.py
+++ b/src/boragespring/http/bounded_runner.py
@@ -6,9 +6,10 @@
 from aiohttp import web
 
 from boragespring.http.caller_budget import CallerBudget
-from boragespring.http.caller_connection import ConnectionLimits, RefusedHead
 from boragespring.http.collected_request import CollectedRequest
+from boragespring.http.connection_limits import ConnectionLimits
 from boragespring.http.connection_server import ConnectionServer
+from boragespring.http.raw_refusal import RefusedHead
 
 __all__ = ["BoundedAppRunner"]
 
--- a/src/boragespring/http/caller_connection.py
+++ b/src/boragespring/http/caller_connection.py
@@ -12,7 +12,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from http import HTTPStatus
 from typing import Any
 
@@ -20,97 +20,38 @@
 from aiohttp.http import HttpRequestParser, RawRequestMessage
 from aiohttp.streams import StreamReader
 from aiohttp.web_protocol import RequestPayloadError
-from attrs import frozen
 
 from boragespring.http.caller_budget import CallerBudget, CallerState, EvictionReason
+from boragespring.http.connection_limits import (
+    CONNECTION_BYTES,
+    HEAD_COST_FACTOR,
+    HEADERS_MAX,
+    RECEIVE_BYTES,
+    REQUEST_BYTES,
+    ConnectionLimits,
+    head_bytes,
+    head_cost_bytes,
+    unseen_head_cost_bytes,
+)
+from boragespring.http.raw_refusal import RefusedHead, encode_refusal
+from boragespring.http.read_ahead import ReadAhead
 from boragespring.http.upload import (
     Upload,
     UploadEvictedError,
     UploadMalformedError,
 )
 
-__all__ = ["CallerConnection", "ConnectionLimits", "RefusedHead", "head_bytes"]
+__all__ = ["CallerConnection"]
 
 #: Maximum length of a single line. It exceeds the usual limit on the whole head,
 #: which therefore applies first.
 LINE_MAX_BYTES = 64 * 2**10
-#: Maximum number of lines of a head.
-HEADERS_MAX = 128
 #: Time in seconds to read the rest of a request that was answered early.
 LINGERING_TIME_S = 2.0
-#: Maximum amount of data that is read from the socket at once.
-RECEIVE_BYTES = 32 * 2**10
-#: The same where less than this share of it belongs to a body.
+#: Amount of data that is read from the socket at once where less than this share of it
+#: belongs to a body.
 SMALL_RECEIVE_BYTES = 2 * 2**10
 BODY_SHARE_MIN = 0.25
-#: Amount that is read behind a request that is handled.
-READ_AHEAD_MAX_BYTES = 32 * 2**10
-#: Time in seconds after which to retry a request that was refused for lack of memory.
-EVICTED_RETRY_AFTER_S = 1.0
-
-#: Bytes of a head that are in no method, target, name or value.
-SEPARATOR_BYTES = len(":\r\n")
-REQUEST_LINE_REST_BYTES = len("  HTTP/1.1\r\n\r\n")
-#: Least size of a line in a head.
-HEAD_LINE_MIN_BYTES = len("a:\r\n")
-
-#: Cost in memory of a connection, of a request that is handled, of each line of a head,
-#: and of each byte of a head, which is kept as received and decoded.
-CONNECTION_BYTES = 6 * 2**10
-REQUEST_BYTES = 24 * 2**10
-HEAD_LINE_BYTES = 200
-HEAD_COST_FACTOR = 4
-#: Cost of each byte of a body that is copied on its way to a server.
-COPIED_BODY_COST_FACTOR = 2
-
-
-@frozen
-class ConnectionLimits:
-    """Limits on a connection and its requests.
-
-    Parameters
-    ----------
-    header_bytes : int
-        Maximum size of the request line and headers.
-    body_bytes : int
-        Maximum size of the body.
-    header_timeout_s : float
-        Maximum time in seconds from the first byte of a request to the end of its
-        headers.
-    idle_timeout_s : float
-        Maximum time in seconds for which a connection may be idle between two requests.
-    body_cost_factor : int
-        Cost in memory of each byte of a body that is handled.
-    """
-
-    header_bytes: int
-    body_bytes: int
-    header_timeout_s: float
-    idle_timeout_s: float
-    body_cost_factor: int = COPIED_BODY_COST_FACTOR
-
-    @property
-    def largest_request_bytes(self) -> int:
-        """Cost in memory of the largest request on a connection of its own."""
-        head_bytes = head_cost_bytes(self.header_bytes, HEADERS_MAX)
-        body_bytes = self.body_cost_factor * (self.body_bytes + RECEIVE_BYTES)
-        return CONNECTION_BYTES + REQUEST_BYTES + head_bytes + body_bytes
-
-
-@frozen
-class RefusedHead:
-    """Head that was refused before it was complete.
-
-    Parameters
-    ----------
-    status : int
-        Status of the refusal.
-    head_bytes : int
-        Size of what had arrived.
-    """
-
-    status: int
-    head_bytes: int
 
 
 class CallerConnection(web.RequestHandler):
@@ -165,10 +106,8 @@
         self._head_timer: asyncio.TimerHandle | None = None
         self._is_discarding = False
         self._framing_bytes = 0
-        self._fed_bytes = 0
-        self._consumed_bytes = 0
-        self._unparsed_bytes = 0
-        self._held_back = bytearray()
+        self._read_ahead = ReadAhead()
+        self._request_head_bytes = 0
         self._reply_bytes = 0
 
     @property
@@ -281,7 +220,7 @@
         """Parse received bytes up to the end of a request, and count what is kept."""
         upload = self._upload
         received_bytes = upload.received_bytes if upload is not None else 0
-        self._fed_bytes += len(data)
+        self._read_ahead.feed(len(data))
         self._is_parsing = True
         try:
             self._parse(data)
@@ -332,7 +271,7 @@
         self._head_bytes = 0
         if isinstance(message, RawRequestMessage):
             size_bytes = head_bytes(message.method, message.path, message.raw_headers)
-            self._consumed_bytes = size_bytes
+            self._request_head_bytes = size_bytes
             self._head_cost_bytes = head_cost_bytes(
                 size_bytes, len(message.raw_headers)
             )
@@ -364,20 +303,21 @@
     def _gate(self) -> None:
         """Parse nothing more until the request has been handled."""
         self._is_gated = True
-        consumed_bytes = self._consumed_bytes + self.upload.received_bytes
-        self._unparsed_bytes = max(0, self._fed_bytes - consumed_bytes)
+        self._read_ahead.end_request(
+            self._request_head_bytes + self.upload.received_bytes
+        )
         self._limit_read_ahead()
         if self._is_handled:
             self._loop.call_soon(self._resume)
 
     def _hold_back(self, data: bytes) -> None:
         """Keep what arrives behind the request that is handled."""
-        self._held_back += data
+        self._read_ahead.hold_back(data)
         self._limit_read_ahead()
         self._account()
 
     def _limit_read_ahead(self) -> None:
-        if self._unparsed_bytes + len(self._held_back) >= READ_AHEAD_MAX_BYTES:
+        if self._read_ahead.is_full:
             self._pause_reading_for_buffer()
 
     def _resume_reading_if_drained(self) -> None:
@@ -401,17 +341,13 @@
         self._is_gated = False
         self._upload = None
         self._framing_bytes = 0
-        self._fed_bytes, self._unparsed_bytes = self._unparsed_bytes, 0
-        self._consumed_bytes = 0
-        held_back, self._held_back = bytes(self._held_back), bytearray()
-        self._feed(held_back)
+        self._request_head_bytes = 0
+        self._feed(self._read_ahead.take())
         if self._upgraded:
             self._feed(self._take_tail_of_upgrade())
         if self._upload is None:
-            # The parser may keep it as the beginning of a head.
-            lines = min(self._fed_bytes // HEAD_LINE_MIN_BYTES, HEADERS_MAX)
-            self._head_cost_bytes = head_cost_bytes(self._fed_bytes, lines)
-            self._fed_bytes = 0
+            kept_bytes = self._read_ahead.end_feed_without_request()
+            self._head_cost_bytes = unseen_head_cost_bytes(kept_bytes)
             self._account()
         if self._buffer_paused:
             self._resume_reading_for_buffer()
@@ -431,7 +367,7 @@
     def _account(self) -> None:
         """Report what the connection holds."""
         held_bytes = CONNECTION_BYTES + self._head_cost_bytes
-        held_bytes += self._unparsed_bytes + len(self._held_back) + self._reply_bytes
+        held_bytes += self._read_ahead.size_bytes + self._reply_bytes
         held_bytes += HEAD_COST_FACTOR * self._framing_bytes
         if self._upload is not None:
             body_bytes = self._limits.body_cost_factor * self._upload.kept_bytes
@@ -454,11 +390,7 @@
         if self.transport is None or self.transport.is_closing():
             return
         self._on_head_refused(RefusedHead(int(status), self._head_bytes))
-        line = f"HTTP/1.1 {status.value} {status.phrase}\r\n"
-        fields = "Content-Length: 0\r\nConnection: close\r\n"
-        if status is HTTPStatus.SERVICE_UNAVAILABLE:
-            fields += f"Retry-After: {EVICTED_RETRY_AFTER_S:.3f}\r\n"
-        self.transport.write(f"{line}{fields}\r\n".encode())
+        self.transport.write(encode_refusal(status))
         self._head_cost_bytes = 0
         self.force_close()
 
@@ -473,18 +405,3 @@
         if self._head_timer is not None:
             self._head_timer.cancel()
             self._head_timer = None
-
-
-def head_bytes(
-    method: str, target: str, raw_headers: Iterable[tuple[bytes, bytes]]
-) -> int:
-    """Return the size in bytes of the request line and the headers, as received."""
-    fields = sum(
-        len(name) + len(value) + SEPARATOR_BYTES for name, value in raw_headers
-    )
-    return fields + len(method) + len(target) + REQUEST_LINE_REST_BYTES
-
-
-def head_cost_bytes(size_bytes: int, lines: int) -> int:
-    """Return the memory that a head of the given size takes."""
-    return HEAD_COST_FACTOR * size_bytes + HEAD_LINE_BYTES * lines
--- a/src/boragespring/http/connection_server.py
+++ b/src/boragespring/http/connection_server.py
@@ -5,11 +5,9 @@
 from aiohttp import web
 
 from boragespring.http.caller_budget import CallerBudget
-from boragespring.http.caller_connection import (
-    CallerConnection,
-    ConnectionLimits,
-    RefusedHead,
-)
+from boragespring.http.caller_connection import CallerConnection
+from boragespring.http.connection_limits import ConnectionLimits
+from boragespring.http.raw_refusal import RefusedHead
 
 __all__ = ["ConnectionServer"]
 
--- a/src/boragespring/platform/http_server.py
+++ b/src/boragespring/platform/http_server.py
@@ -25,15 +25,11 @@
     UnansweredRequests,
 )
 from boragespring.http.caller_budget import CallerBudget
-from boragespring.http.caller_connection import (
-    EVICTED_RETRY_AFTER_S,
-    CallerConnection,
-    ConnectionLimits,
-    RefusedHead,
-    head_bytes,
-)
+from boragespring.http.caller_connection import CallerConnection
 from boragespring.http.collected_request import caller_connection
+from boragespring.http.connection_limits import ConnectionLimits, head_bytes
 from boragespring.http.connection_server import ConnectionServer
+from boragespring.http.raw_refusal import EVICTED_RETRY_AFTER_S, RefusedHead
 from boragespring.http.upload import (
     UploadEvictedError,
     UploadMalformedError,
--- a/src/boragespring/platform/tests/test_pipelining.py
+++ b/src/boragespring/platform/tests/test_pipelining.py
@@ -107,12 +107,20 @@
 
 
 # Guards against work for callers that left: a caller that sent a request ahead as well.
-@pytest.mark.parametrize("behind", [b"", with_length("behind", b"y")])
-async def test_caller_that_leaves_while_its_request_runs_is_noticed(behind):
+@pytest.mark.parametrize(
+    "sent",
+    [
+        with_length("left", b"x"),
+        with_length("left", b"x") + with_length("behind", b"y"),
+        chunked("left", b"x" * 60_000, 1),
+    ],
+    ids=["alone", "with another behind", "in small chunks"],
+)
+async def test_caller_that_leaves_while_its_request_runs_is_noticed(sent):
     async with deployment(services=1) as platform:
         platform.services["desk-0"].execution_s = 0.7
         _, writer = await connect(platform)
-        writer.write(with_length("left", b"x") + behind)
+        writer.write(sent)
         await wait_until(lambda: platform.services["desk-0"].runs)
         writer.close()
         await wait_until(lambda: platform.services["desk-0"].cancelled == ["left"], 0.5)
