Fix: one largest request always has room, whatever limits a configuration sets

Callers would have seen: 503 for each body over callers' share of the memory, in calm too, where a configuration allows larger bodies than the usual 4 MiB or the memory is small. Cause: the budget's floor was the largest request by the usual limits. Change: it follows the limits of the connections that are opened; memory_tight warns.

--- a/src/boragespring/composition/entry_callers.py
+++ b/src/boragespring/composition/entry_callers.py
@@ -23,9 +23,8 @@
 ) -> HttpServer:
     """Return the server for callers, whose memory and connections are bounded."""
     limits = _connection_limits(settings.callers)
-    budget = CallerBudget(
-        budget_settings(settings.process, limits.largest_request_bytes)
-    )
+    budget = CallerBudget(budget_settings(settings.process))
+    budget.allow_request(limits.largest_request_bytes)
     evicted = Counter(
         "boragespring_evicted_callers",
         "Connections of callers that were evicted, by what there was too little of"
@@ -53,7 +52,7 @@
     _add_gauges(budget, registry)
     logging.info(
         "event=callers_limited memory_max_bytes=%d connections_max=%d",
-        budget.settings.memory_max_bytes,
+        budget.memory_max_bytes,
         budget.settings.connections_max,
     )
     return HttpServer(settings.http, app, limits, budget)
--- a/src/boragespring/composition/gateway_callers.py
+++ b/src/boragespring/composition/gateway_callers.py
@@ -14,9 +14,9 @@
     process: ProcessSettings, metrics: GatewayMetrics, log: DecisionLog
 ) -> CallerBudget:
     """Return the budget of all callers, which logs and counts evictions."""
-    largest_request_bytes = connection_limits(CallerLimits()).largest_request_bytes
-    settings = budget_settings(process, largest_request_bytes)
-    budget = CallerBudget(settings)
+    budget = CallerBudget(budget_settings(process))
+    # The limits of a configuration follow with its first connection.
+    budget.allow_request(connection_limits(CallerLimits()).largest_request_bytes)
 
     def record(eviction: Eviction) -> None:
         metrics.record_evicted(eviction.reason.value, eviction.state.value)
@@ -44,7 +44,7 @@
     )
     log.lifecycle(
         "callers_limited",
-        memory_max_bytes=settings.memory_max_bytes,
-        connections_max=settings.connections_max,
+        memory_max_bytes=budget.memory_max_bytes,
+        connections_max=budget.settings.connections_max,
     )
     return budget
--- a/src/boragespring/http/caller_budget.py
+++ b/src/boragespring/http/caller_budget.py
@@ -84,29 +84,11 @@
         return max(1, min(BACKLOG_MAX, self.connections_max // 4))
 
 
-def budget_settings(
-    process: ProcessSettings, largest_request_bytes: int = 0
-) -> CallerBudgetSettings:
-    """Return what callers may use of the resources of a process.
-
-    Parameters
-    ----------
-    process : ProcessSettings
-        Resources of the process.
-    largest_request_bytes : int
-        Cost in memory of the largest request that is allowed. One such request is
-        served also where the process has too little memory; a warning says so.
-    """
-    free_bytes = process.memory_bytes - PROGRAM_BYTES
-    if free_bytes < largest_request_bytes:
-        logging.warning(
-            "event=memory_tight memory_bytes=%d needed_bytes=%d",
-            process.memory_bytes,
-            PROGRAM_BYTES + largest_request_bytes,
-        )
-    memory_max_bytes = max(round(CALLERS_SHARE * free_bytes), largest_request_bytes)
+def budget_settings(process: ProcessSettings) -> CallerBudgetSettings:
+    """Return what callers may use of the resources of a process."""
+    free_bytes = max(process.memory_bytes - PROGRAM_BYTES, 0)
     return CallerBudgetSettings(
-        memory_max_bytes=memory_max_bytes,
+        memory_max_bytes=round(CALLERS_SHARE * free_bytes),
         connections_max=max(round(DESCRIPTORS_SHARE * process.file_descriptors), 1),
     )
 
@@ -171,6 +153,7 @@
     clock: Callable[[], float] = time.monotonic
     eviction_hooks: list[Callable[[Eviction], None]] = field(factory=list)
     held_bytes: int = 0
+    _largest_request_bytes: int = 0
     _users: dict[BudgetUser, int] = field(factory=dict)
     _is_evicting: bool = False
 
@@ -179,10 +162,27 @@
         """Number of open connections."""
         return len(self._users)
 
+    @property
+    def memory_max_bytes(self) -> int:
+        """Maximum memory in bytes, in which one largest request always has room."""
+        return max(self.settings.memory_max_bytes, self._largest_request_bytes)
+
     @property
     def is_exhausted(self) -> bool:
         """Whether more is held than allowed, and nothing can be evicted."""
-        return self.held_bytes > self.settings.memory_max_bytes
+        return self.held_bytes > self.memory_max_bytes
+
+    def allow_request(self, size_bytes: int) -> None:
+        """Record that limits allow a request of the given cost in memory."""
+        if size_bytes <= self._largest_request_bytes:
+            return
+        self._largest_request_bytes = size_bytes
+        if size_bytes > self.settings.memory_max_bytes:
+            logging.warning(
+                "event=memory_tight callers_memory_bytes=%d largest_request_bytes=%d",
+                self.settings.memory_max_bytes,
+                size_bytes,
+            )
 
     def add(self, user: BudgetUser) -> None:
         """Count a new connection; evict another one if there are too many."""
@@ -206,7 +206,7 @@
 
     def _make_room(self) -> None:
         self._is_evicting = True
-        target_bytes = LOW_WATER_SHARE * self.settings.memory_max_bytes
+        target_bytes = LOW_WATER_SHARE * self.memory_max_bytes
         try:
             for user in sorted(self._evictable(), key=self._weight, reverse=True):
                 if self.held_bytes <= target_bytes:
--- a/src/boragespring/http/caller_connection.py
+++ b/src/boragespring/http/caller_connection.py
@@ -160,6 +160,7 @@
         assert isinstance(transport, asyncio.Transport)
         self._socket = transport
         self._read_at_once(RECEIVE_BYTES)
+        self._budget.allow_request(self._limits.largest_request_bytes)
         self._budget.add(self)
         self._account()
 
--- a/src/boragespring/http/tests/test_caller_budget.py
+++ b/src/boragespring/http/tests/test_caller_budget.py
@@ -106,10 +106,21 @@
 
 @pytest.mark.parametrize(
     ("memory_mb", "expected_bytes"),
-    [(60, 10**7), (128, (128 * 10**6 - 64 * 2**20) // 2)],
+    [(60, 0), (128, (128 * 10**6 - 64 * 2**20) // 2)],
 )
 def test_budget_follows_the_memory_of_the_process(memory_mb, expected_bytes):
     process = ProcessSettings(memory_mb * 10**6, 300)
-    settings = budget_settings(process, 10**7)
+    settings = budget_settings(process)
     assert settings.memory_max_bytes == expected_bytes
     assert settings.connections_max == 150
+
+
+# Guards against limits on bodies of a configuration that the budget would never allow.
+def test_one_largest_request_always_has_room():
+    callers = Callers(memory_max_bytes=1000)
+    callers.budget.allow_request(5000)
+    callers.budget.allow_request(300)
+    callers.add("largest", 5000, waited_s=60)
+    assert not callers.evicted and not callers.budget.is_exhausted
+    callers.add("further", 100)
+    assert callers.evicted_names == ["largest"]
