Fix: the limit on bodies follows the configuration on open connections

Callers would have seen: 413 on a kept connection for a body that a newer configuration allows. Cause: with the budget of callers, bodies were limited by what was in force as the connection was opened; before, by what is in force as the request arrives. Change: the connection asks for the limits at each request, and its budget follows them. Measured: test_limit_on_bodies_follows_the_configuration_on_open_connections failed before and passes now; http/ and related tests of platform/: 48 passed.

--- a/src/boragespring/composition/gateway_callers.py
+++ b/src/boragespring/composition/gateway_callers.py
@@ -15,7 +15,7 @@
 ) -> CallerBudget:
     """Return the budget of all callers, which logs and counts evictions."""
     budget = CallerBudget(budget_settings(process))
-    # The limits of a configuration follow with its first connection.
+    # The limits of a configuration follow with its first request.
     budget.allow_request(connection_limits(CallerLimits()).largest_request_bytes)
 
     def record(eviction: Eviction) -> None:
--- a/src/boragespring/http/caller_connection.py
+++ b/src/boragespring/http/caller_connection.py
@@ -61,8 +61,9 @@
     ----------
     manager : web.Server
         Server that the connection belongs to.
-    limits : ConnectionLimits
-        Limits that are in effect when the connection is opened.
+    current_limits : callable
+        Returns the limits in effect. Those on bodies apply to requests that arrive
+        from then on, the others to connections that are opened.
     budget : CallerBudget
         Memory of all callers.
     on_head_refused : callable
@@ -79,10 +80,11 @@
     def __init__(
         self,
         manager: web.Server,
-        limits: ConnectionLimits,
+        current_limits: Callable[[], ConnectionLimits],
         budget: CallerBudget,
         on_head_refused: Callable[[RefusedHead], None],
     ) -> None:
+        limits = current_limits()
         super().__init__(
             manager,
             loop=asyncio.get_running_loop(),
@@ -92,6 +94,7 @@
         )
         self._parser = self._create_parser()
         self._limits = limits
+        self._current_limits = current_limits
         self._budget = budget
         self._on_head_refused = on_head_refused
         self._socket: asyncio.Transport | None = None
@@ -160,7 +163,6 @@
         assert isinstance(transport, asyncio.Transport)
         self._socket = transport
         self._read_at_once(RECEIVE_BYTES)
-        self._budget.allow_request(self._limits.largest_request_bytes)
         self._budget.add(self)
         self._account()
 
@@ -276,7 +278,9 @@
             self._head_cost_bytes = head_cost_bytes(
                 size_bytes, len(message.raw_headers)
             )
-        self._upload = Upload(payload, self._limits.body_bytes)
+        limits = self._current_limits()
+        self._budget.allow_request(limits.largest_request_bytes)
+        self._upload = Upload(payload, limits.body_bytes)
         self._is_handled = False
         self.waits_since_s = time.monotonic()
 
--- a/src/boragespring/http/connection_server.py
+++ b/src/boragespring/http/connection_server.py
@@ -13,7 +13,7 @@
 
 
 class ConnectionServer(web.Server):
-    """Server whose connections use the limits in effect when they are opened.
+    """Server of connections that use the limits in effect.
 
     Parameters
     ----------
@@ -48,6 +48,4 @@
 
     def __call__(self) -> web.RequestHandler:
         """Return the protocol of a new connection."""
-        return CallerConnection(
-            self, self._limits(), self._budget, self._on_head_refused
-        )
+        return CallerConnection(self, self._limits, self._budget, self._on_head_refused)
--- a/src/boragespring/platform/tests/test_caller_limits.py
+++ b/src/boragespring/platform/tests/test_caller_limits.py
@@ -10,6 +10,7 @@
     log_records,
     prompt_headers,
     request_headers,
+    wait_until,
 )
 
 LIMITS = {
@@ -204,3 +205,22 @@
         # Block the event loop until long after the timeout.
         time.sleep(0.5)
         assert await read_status(reader) == 200
+
+
+# Guards against limits on bodies that stay those of the time a connection was opened.
+async def test_limit_on_bodies_follows_the_configuration_on_open_connections():
+    async with deployment(services=1, limits={**LIMITS}) as platform:
+        process = platform.gateways[0]
+        reader, writer = await connect(process)
+        for number, (body_bytes, status) in enumerate(((100, 200), (90_000, 200))):
+            body = b"x" * body_bytes
+            writer.write(build_head(f"r{number}", len(body)).encode() + body)
+            assert await read_status(reader) == status
+            while (await reader.readline()).strip():
+                pass
+            await reader.readexactly(len(platform.services["desk-0"].body))
+            catalogs = len(log_records(process, "catalog"))
+            platform.limits["body_bytes"] = 100_000
+            platform.publish_catalog()
+            await wait_until(lambda: len(log_records(process, "catalog")) > catalogs)  # noqa: B023
+        writer.close()
