An entry counts and logs what it refuses by limits on callers

Cause: a limit that acts needs a line and a counter; a body of too many values, one that cannot be read and a request without memory had neither, as they end before they are counted. Change: boragespring_problems_total by code, request_refused once a second at most; too many values have a code of their own. Errors become responses by singledispatch.

--- a/src/boragespring/composition/entry.py
+++ b/src/boragespring/composition/entry.py
@@ -5,7 +5,10 @@
 from prometheus_client import CollectorRegistry
 
 from boragespring.composition.entry_answers import build_answers
-from boragespring.composition.entry_callers import build_caller_server
+from boragespring.composition.entry_callers import (
+    build_caller_server,
+    build_problem_record,
+)
 from boragespring.composition.entry_claims import EntryClaimWrites
 from boragespring.composition.entry_duties import EntryDuties
 from boragespring.composition.entry_limits import EntryLimits
@@ -20,7 +23,7 @@
 from boragespring.entry.completions import CompletionHandlers
 from boragespring.entry.gate import RequestGate
 from boragespring.entry.lists_accounts import ListsAccounts
-from boragespring.entry.problems import problem_middleware
+from boragespring.entry.problems import build_problem_middleware
 from boragespring.entry.services import ServiceHandlers
 from boragespring.http import admin_routes
 from boragespring.limits import RequestLimiter, Unlimited
@@ -123,7 +126,10 @@
 
     app = web.Application(
         client_max_size=settings.callers.body_max_bytes,
-        middlewares=[problem_middleware, gate.middleware],
+        middlewares=[
+            build_problem_middleware(build_problem_record(registry)),
+            gate.middleware,
+        ],
     )
     gate.install(app)
     app.add_routes(admin_routes(registry, why_not_ready, status))
--- a/src/boragespring/composition/entry_callers.py
+++ b/src/boragespring/composition/entry_callers.py
@@ -1,21 +1,28 @@
 """Build the server for the callers of an entry."""
 
+from collections.abc import Callable
+
 from absl import logging
 from aiohttp import web
 from prometheus_client import CollectorRegistry, Counter, Gauge
 
+from boragespring.entry.problems import Problem
 from boragespring.http import HttpServer
 from boragespring.http.caller_budget import CallerBudget, Eviction, budget_settings
 from boragespring.http.connection_limits import ConnectionLimits
 from boragespring.settings import CallerSettings, EntrySettings
 
-__all__ = ["build_caller_server"]
+__all__ = ["build_caller_server", "build_problem_record"]
 
 #: Cost in memory of each byte of a body: as received, and as text of up to four bytes
 #: for each character.
 PARSED_BODY_COST_FACTOR = 6
-#: Minimum time in seconds between two log lines about evictions.
+#: Minimum time in seconds between two log lines about evictions, and about refusals.
 LOG_INTERVAL_S = 1.0
+#: Refusals by limits on what callers send, which are logged.
+LOGGED_CODES = frozenset(
+    ("body_too_large", "invalid_body", "out_of_memory", "too_many_values")
+)
 
 
 def build_caller_server(
@@ -58,6 +65,29 @@
     return HttpServer(settings.http, app, limits, budget)
 
 
+def build_problem_record(registry: CollectorRegistry) -> Callable[[Problem], None]:
+    """Return a function that counts, and partly logs, what callers are told of."""
+    problems = Counter(
+        "boragespring_problems",
+        "Error responses to callers, by code.",
+        ("code",),
+        registry=registry,
+    )
+
+    def record(problem: Problem) -> None:
+        problems.labels(problem.code).inc()
+        if problem.code in LOGGED_CODES:
+            logging.log_every_n_seconds(
+                logging.WARNING,
+                "event=request_refused code=%s message=%s",
+                LOG_INTERVAL_S,
+                problem.code,
+                problem.message,
+            )
+
+    return record
+
+
 def _connection_limits(callers: CallerSettings) -> ConnectionLimits:
     return ConnectionLimits(
         header_bytes=callers.header_max_bytes,
--- a/src/boragespring/entry/problems.py
+++ b/src/boragespring/entry/problems.py
@@ -1,9 +1,11 @@
 """Errors that are returned to callers as JSON responses."""
 
 import math
+from collections.abc import Callable
+from functools import singledispatch
 
 from aiohttp import web
-from aiohttp.typedefs import Handler
+from aiohttp.typedefs import Handler, Middleware
 
 from boragespring.answers import AnswerError, NotRunError, RequestMismatchError
 from boragespring.errors import BoragespringError
@@ -18,9 +20,10 @@
 __all__ = [
     "CallerTooSlowError",
     "Problem",
+    "build_problem_middleware",
     "out_of_memory",
     "problem_from_error",
-    "problem_middleware",
+    "problem_of",
 ]
 
 STATUS_BY_CODE = {
@@ -121,32 +124,69 @@
     )
 
 
-@web.middleware
-async def problem_middleware(
-    request: web.Request, handler: Handler
-) -> web.StreamResponse:
-    """Convert exceptions of handlers to JSON responses."""
-    try:
-        _check_headers(request)
-        return await handler(request)
-    except Problem as problem:
-        return problem.to_response()
-    except LimitExceededError as error:
-        return Problem(
-            429, error.kind.value, str(error), retry_after_s=error.retry_after_s
-        ).to_response()
-    except AnswerError as error:
-        return problem_from_error(error).to_response()
-    except UploadTooLargeError as error:
-        message = f"the body is too large: {error}"
-        return Problem(413, "body_too_large", message).to_response()
-    except UploadMalformedError as error:
-        message = f"the body cannot be read: {error}"
-        return Problem(400, "invalid_body", message).to_response()
-    except UploadEvictedError:
-        return out_of_memory().to_response()
-    except web.HTTPException as error:
-        return Problem(error.status, "http_error", error.reason).to_response()
+@singledispatch
+def problem_of(error: Exception) -> Problem:
+    """Return what a caller is told of an error; raise one that is not expected."""
+    raise error
+
+
+@problem_of.register
+def _(error: Problem) -> Problem:
+    return error
+
+
+@problem_of.register
+def _(error: LimitExceededError) -> Problem:
+    return Problem(429, error.kind.value, str(error), retry_after_s=error.retry_after_s)
+
+
+@problem_of.register
+def _(error: AnswerError) -> Problem:
+    return problem_from_error(error)
+
+
+@problem_of.register
+def _(error: UploadTooLargeError) -> Problem:
+    return Problem(413, "body_too_large", f"the body is too large: {error}")
+
+
+@problem_of.register
+def _(error: UploadMalformedError) -> Problem:
+    return Problem(400, "invalid_body", f"the body cannot be read: {error}")
+
+
+@problem_of.register
+def _(_: UploadEvictedError) -> Problem:
+    return out_of_memory()
+
+
+@problem_of.register
+def _(error: web.HTTPException) -> Problem:
+    return Problem(error.status, "http_error", error.reason)
+
+
+def build_problem_middleware(record: Callable[[Problem], None]) -> Middleware:
+    """Return a middleware that converts exceptions of handlers to JSON responses.
+
+    Parameters
+    ----------
+    record : callable
+        Called with each problem that a caller is told of.
+    """
+
+    @web.middleware
+    async def convert_problems(
+        request: web.Request, handler: Handler
+    ) -> web.StreamResponse:
+        try:
+            _check_headers(request)
+            return await handler(request)
+        except Exception as error:
+            problem = problem_of(error)
+            record(problem)
+            return problem.to_response()
+
+    return convert_problems
 
 
 def _check_headers(request: web.Request) -> None:
--- a/src/boragespring/entry/requests.py
+++ b/src/boragespring/entry/requests.py
@@ -82,7 +82,7 @@
             f"the body must have no more than {MARKS_MAX} strings, and commas and"
             " opening brackets outside them"
         )
-        raise Problem(400, "invalid_json", message)
+        raise Problem(400, "too_many_values", message)
 
 
 def _parse_text(body: Mapping[str, Any], field: str) -> str:
