Limits on a connection extend those of a configuration; plainer words for errors

Cause: on reading, ConnectionLimits repeated the four fields of CallerLimits. Change: it extends them by the cost of a body; no value or bound changes.

--- a/src/boragespring/composition/entry_callers.py
+++ b/src/boragespring/composition/entry_callers.py
@@ -66,7 +66,7 @@
 
 
 def build_problem_record(registry: CollectorRegistry) -> Callable[[Problem], None]:
-    """Return a function that counts, and partly logs, what callers are told of."""
+    """Return a function that counts error responses, and logs some of them."""
     problems = Counter(
         "boragespring_problems",
         "Error responses to callers, by code.",
--- a/src/boragespring/entry/problems.py
+++ b/src/boragespring/entry/problems.py
@@ -126,7 +126,7 @@
 
 @singledispatch
 def problem_of(error: Exception) -> Problem:
-    """Return what a caller is told of an error; raise one that is not expected."""
+    """Return the error response for an exception; raise one that is not expected."""
     raise error
 
 
@@ -171,7 +171,7 @@
     Parameters
     ----------
     record : callable
-        Called with each problem that a caller is told of.
+        Called with each error response.
     """
 
     @web.middleware
--- a/src/boragespring/http/connection_limits.py
+++ b/src/boragespring/http/connection_limits.py
@@ -4,6 +4,8 @@
 
 from attrs import frozen
 
+from boragespring.catalog import CallerLimits
+
 __all__ = [
     "CONNECTION_BYTES",
     "HEADERS_MAX",
@@ -38,28 +40,15 @@
 
 
 @frozen
-class ConnectionLimits:
+class ConnectionLimits(CallerLimits):
     """Limits on a connection and its requests.
 
     Parameters
     ----------
-    header_bytes : int
-        Maximum size of the request line and headers.
-    body_bytes : int
-        Maximum size of the body.
-    header_timeout_s : float
-        Maximum time in seconds from the first byte of a request to the end of its
-        headers.
-    idle_timeout_s : float
-        Maximum time in seconds for which a connection may be idle between two requests.
     body_cost_factor : int
         Cost in memory of each byte of a body that is handled.
     """
 
-    header_bytes: int
-    body_bytes: int
-    header_timeout_s: float
-    idle_timeout_s: float
     body_cost_factor: int = COPIED_BODY_COST_FACTOR
 
     @property
