Refuse replies whose heads are not HTTP beyond doubt

Cause: the library's parser is lenient with replies and mends them, and no reader looked at a head after it.

One check now stands before the parser on every connection that a program opens: status line, names, values and framing after RFC 9110 and 9112 (http/reply_head.py). What is in doubt is refused as a whole and counts as a lost reply: the request may have run, so that only idempotent ones go to another server, and a write to the store has an unknown outcome. A stream that did not begin names its reason in the log in all cases (`stream_not_begun`), not only once it was relayed.

--- a/src/boragespring/cli/leave.py
+++ b/src/boragespring/cli/leave.py
@@ -7,6 +7,7 @@
 import typer
 
 from boragespring.errors import BoragespringError
+from boragespring.http.client_session import create_session
 
 __all__ = ["LeaveError", "add_commands"]
 
@@ -38,7 +39,7 @@
     query = {} if notice_s is None else {"notice_s": str(notice_s)}
     timeout = aiohttp.ClientTimeout(total=TIMEOUT_S)
     try:
-        async with aiohttp.ClientSession(timeout=timeout) as session:
+        async with create_session(timeout=timeout) as session:
             async with session.post(f"{url}/leave", params=query) as response:
                 response.raise_for_status()
                 status: dict[str, Any] = await response.json()
--- a/src/boragespring/cli/status.py
+++ b/src/boragespring/cli/status.py
@@ -13,6 +13,7 @@
 from rich.console import Console
 from rich.table import Table
 
+from boragespring.http.client_session import create_session
 from boragespring.settings import PlatformSettings, load_document, structure
 from boragespring.store import HttpInstanceList
 from boragespring.store.instances import Instance, InstanceListError
@@ -121,7 +122,7 @@
 ) -> list[ProcessState]:
     listed = await _fetch_instances(instances_url) if instances_url else ()
     timeout = aiohttp.ClientTimeout(total=TIMEOUT_S)
-    async with aiohttp.ClientSession(timeout=timeout) as session:
+    async with create_session(timeout=timeout) as session:
         given_states = (_fetch_state(session, url.rstrip("/"), "") for url in urls)
         listed_states = (
             _fetch_state(
--- a/src/boragespring/engines/engine_client.py
+++ b/src/boragespring/engines/engine_client.py
@@ -31,8 +31,13 @@
     create_vendor,
     parse_token_batch,
 )
-from boragespring.http.bounded_reply import read_body
-from boragespring.http.single_send import create_single_send_session
+from boragespring.http.bounded_reply import (
+    NOT_CONNECTED_ERRORS,
+    NotConnectedError,
+    create_connector,
+    read_body,
+)
+from boragespring.http.client_session import create_single_send_session
 from boragespring.json_document import parse_json
 
 __all__ = [
@@ -193,7 +198,7 @@
                     text = body.decode(errors="replace")
                     detail = text[:MAX_ERROR_DETAIL_CHARACTERS]
                     raise OrderRefusedError(f"{response.status}: {detail}")
-        except aiohttp.ClientConnectorError as error:
+        except (aiohttp.ClientConnectorError, NotConnectedError) as error:
             raise OrderRefusedError(str(error)) from error
         except aiohttp.ClientError as error:
             raise TimeoutError(str(error)) from error
@@ -209,7 +214,7 @@
             response = await self.session.post(
                 self.base_url + call.path, data=call.body, headers=headers
             )
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+        except NOT_CONNECTED_ERRORS as error:
             raise CallNotRunError(f"cannot connect to the engine: {error}") from error
         except (aiohttp.ClientError, TimeoutError) as error:
             raise GenerationFailedError(f"engine sent no response: {error}") from error
@@ -271,6 +276,6 @@
         sock_connect=settings.connect_timeout_s,
         sock_read=settings.read_timeout_s,
     )
-    connector = aiohttp.TCPConnector(limit=0, force_close=True)
+    connector = create_connector(limit=0, force_close=True)
     session = create_single_send_session(connector=connector, timeout=timeout)
     return HttpEngineClient(vendor, base_url.rstrip("/"), settings, session)
--- a/src/boragespring/engines/service_client.py
+++ b/src/boragespring/engines/service_client.py
@@ -21,10 +21,14 @@
     parse_load_report,
 )
 from boragespring.engines.vendors import Orca
-from boragespring.http.bounded_reply import read_body
+from boragespring.http.bounded_reply import (
+    NOT_CONNECTED_ERRORS,
+    create_connector,
+    read_body,
+)
+from boragespring.http.client_session import create_single_send_session
 from boragespring.http.connection_watch import watch_connection
 from boragespring.http.reply_end import ReplyEnd, ReplyFraming
-from boragespring.http.single_send import create_single_send_session
 
 __all__ = ["HttpServiceClient", "ServiceClientSettings", "create_service_client"]
 
@@ -100,7 +104,7 @@
                 await reply_end.check()
                 if reply_end.framing is ReplyFraming.CONNECTION:
                     await self._check_still_listens(response.url)
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+        except NOT_CONNECTED_ERRORS as error:
             raise CallNotRunError(f"cannot connect to the service: {error}") from error
         except aiohttp.InvalidURL as error:
             raise CallNotRunError(f"invalid request path: {error}") from error
@@ -161,7 +165,7 @@
     timeout = aiohttp.ClientTimeout(
         total=settings.call_timeout_s, sock_connect=settings.connect_timeout_s
     )
-    connector = aiohttp.TCPConnector(limit=0, force_close=True)
+    connector = create_connector(limit=0, force_close=True)
     session = create_single_send_session(
         connector=connector, timeout=timeout, auto_decompress=False
     )
--- a/src/boragespring/forwarding/streaming.py
+++ b/src/boragespring/forwarding/streaming.py
@@ -254,8 +254,9 @@
             # A refusal of another request says nothing about this one.
             if head.request_id and head.request_id != job.request_id:
                 reply.close()
-                self._context.fleet.record_failure(server, "reply to another request")
-                return Refusal(RefusalReason.REPLY_LOST, was_not_run=False)
+                reason = f"reply to another request, {head.request_id}"
+                self._context.fleet.record_failure(server, reason)
+                return self._refuse_lost(job, server, reason)
             if head.was_not_run or head.is_misdirected:
                 reply.close()
                 if not head.is_misdirected:
@@ -277,7 +278,7 @@
             self._context.outliers.record(server, has_failed=True)
             self._context.crash_detector.run_broke(server, job.request_id)
             self._context.fleet.record_failure(server, str(error))
-            return Refusal(RefusalReason.REPLY_LOST, was_not_run=False)
+            return self._refuse_lost(job, server, str(error))
         finally:
             if not is_open:
                 self._context.crash_detector.run_ended(server, job.request_id)
@@ -294,9 +295,10 @@
                     body += chunk
                     is_held = job.progress.hold_reply(len(body))
                     if not is_held or len(body) > self._settings.body_max_bytes:
-                        return Refusal(RefusalReason.REPLY_LOST, was_not_run=False)
-        except (ReplyBrokenError, TimeoutError):
-            return Refusal(RefusalReason.REPLY_LOST, was_not_run=False)
+                        raise ReplyBrokenError("reply too large to hold")
+        except (ReplyBrokenError, TimeoutError) as error:
+            reason = f"status {opened.reply.head.status}, {error}"
+            return self._refuse_lost(job, opened.server, reason)
         finally:
             opened.reply.close()
             self._context.crash_detector.run_ended(opened.server, job.request_id)
@@ -316,7 +318,8 @@
             opened.reply.close()
             self._context.crash_detector.run_ended(opened.server, job.request_id)
             self._context.fleet.remove_run(opened.server, job.request_id)
-            return Refusal(RefusalReason.REPLY_LOST, was_not_run=False)
+            reason = f"status {head.status}, but no signed stream of the request"
+            return self._refuse_lost(job, opened.server, reason)
         stream = RunningStream(
             job, opened.server, opened.load, last_event_id=job.last_event_id
         )
@@ -353,12 +356,7 @@
             is_event_unterminated=stream.unterminated_bytes > 0,
         )
         if reason and not held.is_started:
-            self._context.log.failure(
-                "stream_not_begun",
-                job.request_id,
-                server=stream.server_id,
-                reason=reason,
-            )
+            self._log_not_begun(job, stream.server_id, reason)
             return refusal
         if reason:
             caller.abort()
@@ -375,5 +373,15 @@
             stream.unterminated_bytes,
         )
 
+    def _refuse_lost(self, job: Job, server: BackendServer, reason: str) -> Refusal:
+        """Refuse a stream whose reply was lost, as its run may have begun."""
+        self._log_not_begun(job, server.server_id, reason)
+        return Refusal(RefusalReason.REPLY_LOST, was_not_run=False)
+
+    def _log_not_begun(self, job: Job, server_id: str, reason: str) -> None:
+        self._context.log.failure(
+            "stream_not_begun", job.request_id, server=server_id, reason=reason
+        )
+
     def _build_refusal(self, reason: RefusalReason) -> Refusal:
         return Refusal(reason, True, self._settings.retry_after_s)
--- a/src/boragespring/http/bounded_reply.py
+++ b/src/boragespring/http/bounded_reply.py
@@ -7,10 +7,12 @@
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.connector import Connection
-from aiohttp.http import HttpProcessingError, RawResponseMessage
-from aiohttp.streams import StreamReader
+
+from boragespring.http.reply_head import UnsoundReplyError
+from boragespring.http.reply_scan import ReplyScan
 
 __all__ = [
+    "NOT_CONNECTED_ERRORS",
     "REPLY_PIECE_BYTES",
     "BodyTooLargeError",
     "NotConnectedError",
@@ -18,15 +20,8 @@
     "read_body",
 ]
 
-#: Maximum number of informational heads (status 1xx) before the final one.
-INFORMATIONAL_HEADS_MAX = 8
 #: Amount of a reply that is read from the socket, and waits for its reader, at once.
 REPLY_PIECE_BYTES = 32 * 2**10
-#: Amount of data that is parsed at once until the final head has arrived. Each of many
-#: small heads in it costs time.
-HEAD_PIECE_BYTES = 8192
-_SWITCHING_PROTOCOLS = 101
-_INFORMATIONAL = range(100, 200)
 
 
 class BodyTooLargeError(aiohttp.ClientPayloadError):
@@ -61,59 +56,51 @@
     return bytes(body)
 
 
-class _BoundedResponseHandler(ResponseHandler):
-    """Protocol of a connection that bounds what precedes the final head.
+#: Errors that are raised before a connection is open, so that nothing has been sent.
+NOT_CONNECTED_ERRORS = (
+    aiohttp.ClientConnectorError,
+    aiohttp.ConnectionTimeoutError,
+    NotConnectedError,
+)
 
-    aiohttp skips informational heads without end, and does not yield meanwhile.
-    """
 
-    _informational_heads = 0
-    _has_final_head = False
+class _CheckedResponseHandler(ResponseHandler):
+    """Protocol of a connection on which only checked replies are parsed."""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Limit how much is read from the socket at once."""
         super().connection_made(transport)
+        self._scan = ReplyScan()
         # Amount that asyncio's transports on selectors read at once.
         transport.max_size = REPLY_PIECE_BYTES  # type: ignore[attr-defined]
 
     def set_response_params(self, **params: Any) -> None:
         """Prepare for the reply to the next request."""
-        self._informational_heads = 0
-        self._has_final_head = False
+        self._scan = ReplyScan()
         super().set_response_params(**params)
 
     def data_received(self, data: bytes) -> None:
-        """Parse received data, in small pieces before the final head."""
-        begin = 0
-        while begin < len(data) and not self._has_final_head:
-            if self.exception() is not None:
-                return
-            super().data_received(data[begin : begin + HEAD_PIECE_BYTES])
-            begin += HEAD_PIECE_BYTES
-        if begin < len(data):
-            super().data_received(data[begin:])
-
-    def feed_data(
-        self, data: tuple[RawResponseMessage, StreamReader], size: int = 0
-    ) -> None:
-        """Pass a parsed head on, unless there are too many."""
+        """Parse received data once the head of the reply has been checked."""
+        if not data:
+            # The library lets its parser go on.
+            super().data_received(data)
+            return
         if self.exception() is not None:
             return
-        status = data[0].code
-        if status not in _INFORMATIONAL or status == _SWITCHING_PROTOCOLS:
-            self._has_final_head = True
-        else:
-            self._informational_heads += 1
-        if self._informational_heads > INFORMATIONAL_HEADS_MAX:
-            self._refuse()
+        try:
+            checked = self._scan.feed(data)
+        except UnsoundReplyError as error:
+            self._refuse(error)
             return
-        super().feed_data(data, size)
+        if checked:
+            super().data_received(checked)
 
-    def _refuse(self) -> None:
+    def _refuse(self, error: UnsoundReplyError) -> None:
         if self.transport is not None:
             self.transport.close()
-        reason = f"more than {INFORMATIONAL_HEADS_MAX} informational heads"
-        self.set_exception(HttpProcessingError(code=502, message=reason))
+        if self._payload is not None:
+            self._payload.set_exception(error)
+        self.set_exception(error)
 
 
 class _Connector(aiohttp.TCPConnector):
@@ -142,6 +129,6 @@
     """
     connector = _Connector(**options)
     # aiohttp has no public way to choose the protocol of its connections.
-    factory: Any = functools.partial(_BoundedResponseHandler, loop=connector._loop)
+    factory: Any = functools.partial(_CheckedResponseHandler, loop=connector._loop)
     connector._factory = factory
     return connector
--- a/src/boragespring/lists/rollout.py
+++ b/src/boragespring/lists/rollout.py
@@ -4,6 +4,8 @@
 
 import aiohttp
 
+from boragespring.http.bounded_reply import create_connector
+from boragespring.http.client_session import create_session
 from boragespring.store import Instance, InstanceList, InstanceListError
 
 __all__ = ["wait_for_rollout"]
@@ -36,8 +38,8 @@
     """
     deadline_s = asyncio.get_running_loop().time() + timeout_s
     timeout = aiohttp.ClientTimeout(total=_REQUEST_TIMEOUT_S)
-    connector = aiohttp.TCPConnector(limit=_CONCURRENT_REQUESTS_MAX)
-    async with aiohttp.ClientSession(timeout=timeout, connector=connector) as session:
+    connector = create_connector(limit=_CONCURRENT_REQUESTS_MAX)
+    async with create_session(connector, timeout=timeout) as session:
         up_to_date: set[str] = set()
         while True:
             outdated = await _find_outdated(session, instances, version, up_to_date)
--- a/src/boragespring/platform/server_calls.py
+++ b/src/boragespring/platform/server_calls.py
@@ -29,14 +29,14 @@
     ServerUnreachableError,
 )
 from boragespring.http.bounded_reply import (
+    NOT_CONNECTED_ERRORS,
     REPLY_PIECE_BYTES,
-    NotConnectedError,
     create_connector,
     read_body,
 )
+from boragespring.http.client_session import create_single_send_session
 from boragespring.http.connection_watch import ConnectionWatch, watch_connection
 from boragespring.http.reply_end import ReplyEnd, ReplyFraming
-from boragespring.http.single_send import create_single_send_session
 from boragespring.json_document import parse_json
 from boragespring.platform import names
 from boragespring.platform.report_codec import decode_report
@@ -55,13 +55,6 @@
 #: Number of characters of an error that are kept. It may quote an address.
 REASON_MAX_CHARACTERS = 300
 
-#: Errors that are raised before a connection is open, so that nothing has been sent.
-_NOT_CONNECTED = (
-    aiohttp.ClientConnectorError,
-    aiohttp.ConnectionTimeoutError,
-    NotConnectedError,
-)
-
 
 class PermitTaker(Protocol):
     """Decides whether a call to a server keeps the rate that the server takes."""
@@ -162,7 +155,7 @@
                     total=None, connect=self._settings.connect_timeout_s
                 ),
             )
-        except _NOT_CONNECTED as error:
+        except NOT_CONNECTED_ERRORS as error:
             raise ServerUnreachableError(_describe(error)) from error
         except (aiohttp.ClientError, OSError, ValueError) as error:
             raise ReplyLostError(_describe(error)) from error
@@ -272,7 +265,7 @@
             ) as response:
                 self._pass_on_statement(server, response, sent_at_s)
                 return response.status, await read_body(response, BODY_MAX_BYTES)
-        except _NOT_CONNECTED as error:
+        except NOT_CONNECTED_ERRORS as error:
             raise ServerUnreachableError(_describe(error)) from error
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
             raise ReplyLostError(_describe(error)) from error
--- a/src/boragespring/platform/store_client.py
+++ b/src/boragespring/platform/store_client.py
@@ -22,6 +22,7 @@
     create_connector,
     read_body,
 )
+from boragespring.http.client_session import create_session
 from boragespring.json_document import parse_json
 from boragespring.platform import names
 from boragespring.platform.sockets import create_socket
@@ -286,7 +287,7 @@
     def _get_session(self) -> aiohttp.ClientSession:
         if self._session is None:
             connector = create_connector(socket_factory=create_socket, limit=0)
-            self._session = aiohttp.ClientSession(connector=connector)
+            self._session = create_session(connector)
         return self._session
 
 
--- a/src/boragespring/replay/player.py
+++ b/src/boragespring/replay/player.py
@@ -10,6 +10,8 @@
 
 from boragespring.engines.client import EngineError
 from boragespring.engines.event_stream import EventSplitter
+from boragespring.http.bounded_reply import create_connector
+from boragespring.http.client_session import create_session
 from boragespring.replay.measures import AnswerRecord
 from boragespring.replay.trace import TraceRequest
 
@@ -76,11 +78,9 @@
             One record per request, in the order of the trace.
         """
         timeout = aiohttp.ClientTimeout(total=self.settings.request_timeout_s)
-        connector = aiohttp.TCPConnector(limit=0)
+        connector = create_connector(limit=0)
         started_s = time.monotonic()
-        async with aiohttp.ClientSession(
-            timeout=timeout, connector=connector
-        ) as self._session:
+        async with create_session(connector, timeout=timeout) as self._session:
             async with asyncio.TaskGroup() as tasks:
                 started = []
                 for index, request in enumerate(trace):
--- a/src/boragespring/store/etcd.py
+++ b/src/boragespring/store/etcd.py
@@ -9,7 +9,8 @@
 import aiohttp
 from attrs import frozen
 
-from boragespring.http.bounded_reply import read_body
+from boragespring.http.bounded_reply import create_connector, read_body
+from boragespring.http.client_session import create_session
 from boragespring.json_document import parse_json
 from boragespring.store.json_gateway import (
     CODE_INVALID_ARGUMENT,
@@ -178,8 +179,8 @@
     def _get_session(self) -> aiohttp.ClientSession:
         if self._session is None:
             # Each watch occupies a connection, so the pool size is not limited here.
-            self._session = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(limit=0),
+            self._session = create_session(
+                create_connector(limit=0),
                 read_bufsize=_WATCH_BUFFER_BYTES,
             )
         return self._session
--- a/src/boragespring/store/instances_http.py
+++ b/src/boragespring/store/instances_http.py
@@ -7,6 +7,7 @@
 import cattrs
 
 from boragespring.http.bounded_reply import read_body
+from boragespring.http.client_session import create_session
 from boragespring.json_document import parse_json
 from boragespring.store.instances import Instance, InstanceListError
 
@@ -58,7 +59,7 @@
     async def fetch(self) -> tuple[Instance, ...]:
         """Read the full list; raise `InstanceListError` on failure."""
         if self._session is None:
-            self._session = aiohttp.ClientSession(timeout=self._timeout)
+            self._session = create_session(timeout=self._timeout)
         try:
             headers = {"If-None-Match": self._entity_tag} if self._entity_tag else {}
             async with self._session.get(
--- a/src/boragespring/store/weights_http.py
+++ b/src/boragespring/store/weights_http.py
@@ -5,6 +5,7 @@
 
 import aiohttp
 
+from boragespring.http.client_session import create_session
 from boragespring.store.weights import WeightStoreBusyError, WeightStoreError
 
 __all__ = ["HttpWeightStore"]
@@ -39,7 +40,7 @@
             The call failed.
         """
         if self._session is None:
-            self._session = aiohttp.ClientSession(timeout=self._timeout)
+            self._session = create_session(timeout=self._timeout)
         url = f"{self._url}/weights/{quote(name, safe='')}"
         try:
             async with self._session.post(url) as response:
