Know where each reply ends, and put nothing behind it down to a request

A reply of the store that came late on a kept connection was taken for the reply to the next call on it. A caller of a service got 502 although the whole answer had come, if its server sent other bytes right behind it; the users' pages say that such bytes belong to no request.

Cause: the library's parser alone knew where a reply ends. It takes what follows for a further reply, queues it for whoever reads next on that connection, or fails as a whole.

The scan before the parser follows each reply to its end, through chunks and trailers as well. What comes behind is left out and the connection is not used again; bytes on an idle connection close it.

--- a/src/boragespring/http/bounded_reply.py
+++ b/src/boragespring/http/bounded_reply.py
@@ -67,20 +67,21 @@
 class _CheckedResponseHandler(ResponseHandler):
     """Protocol of a connection on which only checked replies are parsed."""
 
+    _scan: ReplyScan | None = None
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Limit how much is read from the socket at once."""
         super().connection_made(transport)
-        self._scan = ReplyScan()
         # Amount that asyncio's transports on selectors read at once.
         transport.max_size = REPLY_PIECE_BYTES  # type: ignore[attr-defined]
 
-    def set_response_params(self, **params: Any) -> None:
+    def set_response_params(self, *, skip_payload: bool = False, **params: Any) -> None:
         """Prepare for the reply to the next request."""
-        self._scan = ReplyScan()
-        super().set_response_params(**params)
+        self._scan = ReplyScan(has_body=not skip_payload)
+        super().set_response_params(skip_payload=skip_payload, **params)
 
     def data_received(self, data: bytes) -> None:
-        """Parse received data once the head of the reply has been checked."""
+        """Parse received data if it belongs to a reply that is awaited."""
         if not data:
             # The library lets its parser go on.
             super().data_received(data)
@@ -88,13 +89,23 @@
         if self.exception() is not None:
             return
         try:
-            checked = self._scan.feed(data)
+            checked = self._check(data)
         except UnsoundReplyError as error:
             self._refuse(error)
             return
         if checked:
             super().data_received(checked)
 
+    def _check(self, data: bytes) -> bytes:
+        """Return the part of the data that may be parsed."""
+        if self._scan is None or self._scan.is_complete:
+            raise UnsoundReplyError("bytes that belong to no request")
+        checked = self._scan.feed(data)
+        if self._scan.has_excess:
+            # Nothing further on this connection belongs to a request.
+            self.force_close()
+        return checked
+
     def _refuse(self, error: UnsoundReplyError) -> None:
         if self.transport is not None:
             self.transport.close()
--- /dev/null
+++ b/src/boragespring/http/tests/reply_chunks.py
@@ -0,0 +1,35 @@
+"""Bodies in chunks whose framing is in doubt, and some whose is not."""
+
+UNSOUND_BODIES = [
+    b"2\nno\r\n0\r\n\r\n",
+    b"2\r\nno\n0\r\n\r\n",
+    b"2\r\nno\r\n0\n\r\n",
+    b"2\r\nno\r\n0\r\n\n",
+    b"2 \r\nno\r\n0\r\n\r\n",
+    b" 2\r\nno\r\n0\r\n\r\n",
+    b"0x2\r\nno\r\n0\r\n\r\n",
+    b"+2\r\nno\r\n0\r\n\r\n",
+    b"-2\r\nno\r\n0\r\n\r\n",
+    b"2,\r\nno\r\n0\r\n\r\n",
+    b"2;\x00\r\nno\r\n0\r\n\r\n",
+    b"2;a\rb\r\nno\r\n0\r\n\r\n",
+    b"10000000000000002\r\nno\r\n0\r\n\r\n",
+    b"\r\nno\r\n0\r\n\r\n",
+    b"2\r\nnot\r\n0\r\n\r\n",
+    b"2\r\nno0\r\n\r\n",
+    b"2\r\nno\r\n0\r\nX Y: 1\r\n\r\n",
+    b"2\r\nno\r\n0\r\nX-Y : 1\r\n\r\n",
+    b"2\r\nno\r\n0\r\nX\x01Y: 1\r\n\r\n",
+    b"2\r\nno\r\n0\r\nX-Y: \x00\r\n\r\n",
+    b"2\r\nno\r\n0\r\nX-Y: 1\r\n 2\r\n\r\n",
+    b"2\r\nno\r\n0\r\nno field\r\n\r\n",
+    b"2\r\nno\r\n0\r\nHTTP/1.1 200 OK\r\n\r\n",
+]
+SOUND_BODIES = [
+    b"2\r\nno\r\n0\r\n\r\n",
+    b"1\r\nn\r\n1\r\no\r\n0\r\n\r\n",
+    b"0002\r\nno\r\n000\r\n\r\n",
+    b'2;name;other="value" \r\nno\r\n0;last\r\n\r\n',
+    b"2 ; name\r\nno\r\n0\r\n\r\n",
+    b"2\r\nno\r\n0\r\nX-Trailer: 1\r\nX-Empty:\r\n\r\n",
+]
--- a/src/boragespring/platform/tests/test_unsound_replies.py
+++ b/src/boragespring/platform/tests/test_unsound_replies.py
@@ -183,3 +183,42 @@
         (line,) = log_records(platform.gateways[0], "stream_not_begun")
         assert (line.request_id, line.server) == ("r1", "engine-9")
         assert "UnsoundReplyError" in line.reason
+
+
+# Guards against a reply that is lost as its server sent other bytes behind it.
+@pytest.mark.parametrize("behind", [b"\x00\x01 no reply\r\n\r\n", b"x" * 100_000])
+async def test_caller_gets_a_reply_whatever_comes_behind_it(session, behind):
+    whole = replies_with(SOUND_HEADS[0], b"no")
+    async with (
+        raw_server(lambda *request: whole(*request) + behind) as port,
+        deployment(services=0) as platform,
+    ):
+        await register_and_wait(platform, "desk-9", PLAIN_SERVICE, port)
+        url = platform.gateways[0].url + "/book/x"
+        async with session.post(url, headers=request_headers("r1")) as response:
+            assert (response.status, await response.read()) == (200, b"no")
+
+
+# Guards against a late reply of the store that the next call on its connection gets.
+async def test_late_reply_of_the_store_answers_no_call():
+    late_item = ITEM.replace(b'"value": ""', b'"value": "bGF0ZQ=="')
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(replies_with(SOUND_HEADS[0], ITEM)("GET", "/", {}))
+        await asyncio.sleep(0.05)
+        writer.write(replies_with(SOUND_HEADS[0], late_item)("GET", "/", {}))
+        await reader.read()
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    store = PlatformStore(PlatformStoreSettings(f"http://127.0.0.1:{port}"))
+    try:
+        await store.get("key")
+        await asyncio.sleep(0.2)
+        found = await store.get("key")
+        assert found.item.value == b""
+    finally:
+        await store.close()
+        server.close()
