Refuse replies of which it is in doubt whose they are, or what their body is

Callers could get a reply with two identifiers or two signatures, or a body with a content encoding behind a field `identity` or in the error reply to a stream (MIXED).

Cause: readers took the first of several fields and passed all of them on.

--- a/src/boragespring/forwarding/messages.py
+++ b/src/boragespring/forwarding/messages.py
@@ -231,7 +231,8 @@
     is_misdirected : bool
         Whether the address belongs to a server other than the expected one.
     is_encoded : bool
-        Whether a content encoding, such as gzip, was applied to the body.
+        Whether the reply names a content encoding, such as gzip, which nobody asked
+        for.
     framing : ReplyFraming
         How the end of the body is marked.
     """
--- a/src/boragespring/forwarding/streaming.py
+++ b/src/boragespring/forwarding/streaming.py
@@ -290,6 +290,8 @@
         """Forward a server's error reply to the caller without streaming it."""
         body = bytearray()
         try:
+            if opened.reply.head.is_encoded:
+                raise ReplyBrokenError("encoded body")
             async with asyncio.timeout_at(job.deadline_s):
                 async for chunk in opened.reply.chunks():
                     body += chunk
--- a/src/boragespring/platform/names.py
+++ b/src/boragespring/platform/names.py
@@ -57,6 +57,9 @@
 #: number, in all its replies for as long as it holds.
 SERVER_LIMIT: Final = "Server-Limit"
 
+#: Headers of a reply that say whose it is, and that stand in it once.
+SINGLE_REPLY_HEADERS: Final = (REQUEST_ID, SIGNATURE)
+
 # Header of every reply of the store. Its value rises by one each time that the store
 # returns without changes that it had acknowledged.
 STORE_ERA: Final = "Store-Era"
--- a/src/boragespring/platform/server_calls.py
+++ b/src/boragespring/platform/server_calls.py
@@ -159,6 +159,10 @@
             raise ServerUnreachableError(_describe(error)) from error
         except (aiohttp.ClientError, OSError, ValueError) as error:
             raise ReplyLostError(_describe(error)) from error
+        repeated = _repeated_header(response)
+        if repeated:
+            response.close()
+            raise ReplyLostError(f"more than one header {repeated}")
         self._pass_on_statement(server, response, sent_at_s)
         return _HttpReply(response)
 
@@ -346,7 +350,6 @@
 
 def _reply_head(response: aiohttp.ClientResponse, framing: ReplyFraming) -> ReplyHead:
     headers = response.headers
-    encoding = headers.get(hdrs.CONTENT_ENCODING, "identity")
     return ReplyHead(
         status=response.status,
         headers=tuple(
@@ -358,11 +361,20 @@
         is_signed=names.SIGNATURE in headers,
         was_not_run=names.NOT_RUN in headers,
         is_misdirected=response.status == _MISDIRECTED,
-        is_encoded=encoding.strip().lower() not in ("", "identity"),
+        is_encoded=hdrs.CONTENT_ENCODING in headers,
         framing=framing,
     )
 
 
+def _repeated_header(response: aiohttp.ClientResponse) -> str:
+    """Return a header that occurs twice although only one of them can be meant."""
+    headers = response.headers
+    repeated = (
+        name for name in names.SINGLE_REPLY_HEADERS if len(headers.getall(name, ())) > 1
+    )
+    return next(repeated, "")
+
+
 def _parse_copy_id(reply: Mapping[str, Any]) -> str:
     """Return the identifier of a copy; an empty one if it cannot be used."""
     try:
