Answer errors ourselves, not with the HTTP library's page

Callers got the library's page, `Server got itself in trouble`, for errors that nobody expected, whether their request had run or not; for heads that are no HTTP an HTTP/1.0 page that quotes the line in question, and the log a traceback for each.

Cause: errors of handlers and of the parser went to the library's own handler.

Connections refuse what is no HTTP as they do heads that are too large: status, no body, `head_refused`, no traceback. A gateway answers its unexpected errors with 503 if nothing was sent to a server, else 502 (`failed`), and closes the connection if a reply had begun.

--- a/src/boragespring/forwarding/messages.py
+++ b/src/boragespring/forwarding/messages.py
@@ -350,6 +350,7 @@
     QUARANTINED = "quarantined"
     RATE_LIMITED = "rate_limited"
     OUT_OF_MEMORY = "out_of_memory"
+    FAILED = "failed"
 
 
 @frozen
--- a/src/boragespring/http/caller_connection.py
+++ b/src/boragespring/http/caller_connection.py
@@ -16,6 +16,7 @@
 from http import HTTPStatus
 from typing import Any
 
+from absl import logging
 from aiohttp import web
 from aiohttp.http import HttpRequestParser, RawRequestMessage
 from aiohttp.streams import StreamReader
@@ -205,6 +206,28 @@
         finally:
             self._on_request_handled()
 
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Refuse a request without the library's page, which quotes what arrived.
+
+        Raises
+        ------
+        ConnectionError
+            Always, as the connection is closed.
+        """
+        if isinstance(exc, ConnectionError):
+            raise exc
+        if status == HTTPStatus.INTERNAL_SERVER_ERROR:
+            logging.error("event=request_failed", exc_info=exc)
+        if not request.writer.output_size:
+            self._refuse(HTTPStatus(status))
+        raise ConnectionError("the connection is closed after an error")
+
     def _create_parser(self) -> Any:
         """Return a parser that stops after each request, and decodes no body."""
         return HttpRequestParser(
--- a/src/boragespring/platform/caller_reply.py
+++ b/src/boragespring/platform/caller_reply.py
@@ -38,6 +38,11 @@
         self._closes_connection = closes_connection
         self.response: web.StreamResponse | None = None
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether a part of a reply has been sent."""
+        return self._request.writer.output_size > 0
+
     async def send_buffered(self, head: ReplyHead, body: bytes) -> None:
         """Send a complete reply."""
         if len(body) > PIECE_BYTES:
--- a/src/boragespring/platform/http_server.py
+++ b/src/boragespring/platform/http_server.py
@@ -1,9 +1,11 @@
 """HTTP server that passes callers' requests to the forwarder."""
 
 import asyncio
+import contextlib
 from collections.abc import Callable, Iterable
 from typing import Protocol
 
+from absl import logging
 from aiohttp import web
 from aiohttp.abc import AbstractStreamWriter
 from aiohttp.http_parser import RawRequestMessage
@@ -200,13 +202,14 @@
             progress.has_caller_left = True
             caller.abort()
         except Exception as error:
+            logging.exception("event=request_failed request_id=%s", progress.request_id)
             self._tracker.failed(progress, error)
-            raise
+            await _end_failed(progress, caller)
         finally:
             self._end_tracking(request, progress)
             self.in_progress -= 1
             self._request_finished.set()
-        return caller.response or web.Response(status=500)
+        return caller.response or web.Response(status=502)
 
     async def _parse(
         self, request: web.BaseRequest, progress: RequestProgress
@@ -256,6 +259,15 @@
         self._tracker.interrupted(progress)
 
 
+async def _end_failed(progress: RequestProgress, caller: HttpCallerReply) -> None:
+    """Answer a request that an unexpected error ended, unless a reply has begun."""
+    if caller.has_begun:
+        caller.abort()
+        return
+    with contextlib.suppress(ConnectionError):
+        await caller.refuse(Refusal(RefusalReason.FAILED, not progress.sends))
+
+
 def connection_limits(limits: CallerLimits) -> ConnectionLimits:
     """Return the limits on a connection by those of a configuration."""
     return ConnectionLimits(
