Sound answers clear a request only of what they share with it

Cause: requests that differ in method, query or headers had one trait, path, caller and body, of which each sound answer cleared them all; an answer of the last two seconds did so at once. `server_crashed` showed the same `request` for both, and no `quarantined` followed.

A run now has four traits for its request, each narrower than the one before: path, caller and body; with the method; with the query; with the headers. Answers clear those that they have. Of those that explain the crashes the broadest is refused, as repeats may differ in the rest, but for those that answers have cleared of more crashes. So a repeat whose query differs each time is still quarantined.

--- a/src/boragespring/forwarding/crash_detection.py
+++ b/src/boragespring/forwarding/crash_detection.py
@@ -82,7 +82,7 @@
     @property
     def traits(self) -> Traits:
         """Traits of the run that may still crash a server."""
-        request = frozenset([self.job.identity.trait])
+        request = self.job.identity.traits
         return request | self.job.shared_prompt if self.is_starting else request
 
 
--- a/src/boragespring/forwarding/jobs.py
+++ b/src/boragespring/forwarding/jobs.py
@@ -122,7 +122,15 @@
     def identity(self) -> RequestIdentity:
         """What makes other requests the same."""
         request = self.request
-        return RequestIdentity(request.host, request.path, self.workspace, request.body)
+        return RequestIdentity(
+            request.host,
+            request.path,
+            self.workspace,
+            request.body,
+            request.method,
+            request.query,
+            request.constant_headers,
+        )
 
     @property
     def last_event_id(self) -> str:
--- a/src/boragespring/forwarding/messages.py
+++ b/src/boragespring/forwarding/messages.py
@@ -163,6 +163,16 @@
         """Path without the query string."""
         return self.target.partition("?")[0]
 
+    @property
+    def query(self) -> str:
+        """Query string."""
+        return self.target.partition("?")[2]
+
+    @property
+    def constant_headers(self) -> Headers:
+        """Headers without those that identify this attempt."""
+        return tuple(each for each in self.headers if each[1] != self.request_id)
+
 
 @frozen
 class ResumePoint:
--- a/src/boragespring/platform/emulator/crash_point.py
+++ b/src/boragespring/platform/emulator/crash_point.py
@@ -34,12 +34,15 @@
 
 @define(eq=False)
 class CrashingRequests:
-    """Bodies of requests that crash their servers, and what became of these.
+    """Requests that crash their servers, and what became of these.
 
     Parameters
     ----------
     points : dict of bytes to CrashPoint
         Where the requests with a body crash their server.
+    line_points : dict of str to CrashPoint
+        Where the requests with a method and a target crash their server, such as
+        ``GET /look/stop?id=13``.
     arrivals_s : list of tuple of (float, str)
         Monotonic times in seconds at which such requests reached servers, and their
         identifiers.
@@ -51,12 +54,13 @@
 
     on_crash: Callable[[Any], None]
     points: dict[bytes, CrashPoint] = field(factory=dict)
+    line_points: dict[str, CrashPoint] = field(factory=dict)
     arrivals_s: list[tuple[float, str]] = field(factory=list)
     crash_times_s: list[float] = field(factory=list)
 
-    def receive(self, body: bytes, request_id: str) -> CrashPoint | None:
+    def receive(self, line: str, body: bytes, request_id: str) -> CrashPoint | None:
         """Record a request; return where it crashes its server, None if nowhere."""
-        point = self.points.get(body)
+        point = self.points.get(body) or self.line_points.get(line)
         if point is not None:
             self.arrivals_s.append((time.monotonic(), request_id))
         return point
--- a/src/boragespring/platform/emulator/engine.py
+++ b/src/boragespring/platform/emulator/engine.py
@@ -248,7 +248,10 @@
             work.reject()
             return web.Response(status=421)
         body = await request.read()
-        crash_point = self.crashing.receive(body, run_id) if self.crashing else None
+        crash_point = None
+        if self.crashing is not None:
+            line = f"{request.method} {request.path_qs}"
+            crash_point = self.crashing.receive(line, body, run_id)
         await self._wait_for_slot(work, headers)
         run = None if self.retry_after else self._admit(run_id, headers)
         if run is None:
--- a/src/boragespring/platform/emulator/service.py
+++ b/src/boragespring/platform/emulator/service.py
@@ -218,9 +218,10 @@
     ) -> None:
         fault = self.faults.popleft() if self.faults else self.default_fault
         request_id = request.headers.get(names.REQUEST_ID.lower(), "")
-        crash_point = (
-            self.crashing.receive(request.body, request_id) if self.crashing else None
-        )
+        crash_point = None
+        if self.crashing is not None:
+            line = f"{request.method} {request.target}"
+            crash_point = self.crashing.receive(line, request.body, request_id)
         work = ServerWork(request_id, self.server_id)
         self.works.append(work)
         if fault is ServiceFault.SHED:
--- a/src/boragespring/platform/tests/test_crashing_requests.py
+++ b/src/boragespring/platform/tests/test_crashing_requests.py
@@ -60,25 +60,28 @@
         return 0, {}
 
 
-async def send_repeats(session, platform, request, duration_s):
+def other_body(request):
+    return lambda number: (request, f"sound {number}".encode())
+
+
+async def send_repeats(
+    session, platform, request, duration_s, make_bad=None, make_sound=None
+):
     """Send a request again and again, under new identifiers, to all gateways in turn.
 
     A sound request of the same route goes beside each.
     """
+    make_bad = make_bad or (lambda number: (request, BAD))
+    make_sound = make_sound or other_body(request)
     bad, sound = [], []
     end_s = time.monotonic() + duration_s
     while time.monotonic() < end_s:
         number = len(bad)
         process = platform.gateways[number % len(platform.gateways)]
-        bad.append(
-            asyncio.create_task(send(session, process, request, f"bad-{number}"))
-        )
-        body = f"sound {number}".encode()
-        sound.append(
-            asyncio.create_task(
-                send(session, process, request, f"sound-{number}", body)
-            )
-        )
+        for kind, make, tasks in (("bad", make_bad, bad), ("sound", make_sound, sound)):
+            line, body = make(number)
+            sent = send(session, process, line, f"{kind}-{number}", body)
+            tasks.append(asyncio.create_task(sent))
         await asyncio.sleep(REPEAT_INTERVAL_S)
     await asyncio.gather(*bad)
     return [status for status, _ in await asyncio.gather(*sound)]
@@ -117,6 +120,55 @@
         assert later.count(200) >= 0.9 * len(later)
 
 
+def stop_look_up(number, method="GET"):
+    return (method, f"/look/stop?id={number}"), b""
+
+
+# Guards against a deadly request that sound ones clear which differ by method or query.
+@pytest.mark.parametrize(
+    ("make_bad", "make_sound"),
+    [
+        pytest.param(
+            lambda _: stop_look_up(13),
+            lambda number: stop_look_up(100 + number),
+            id="query",
+        ),
+        pytest.param(
+            lambda _: stop_look_up(13, "DELETE"),
+            lambda _: stop_look_up(13),
+            id="method",
+        ),
+    ],
+)
+async def test_request_told_by_its_line_alone_is_sent_on_no_more(
+    session, make_bad, make_sound
+):
+    (method, target), _ = make_bad(0)
+    async with deployment(services=6, gateways=3) as platform:
+        platform.crashing.line_points[f"{method} {target}"] = CrashPoint(0.04)
+        statuses = await send_repeats(
+            session, platform, LOOKUP, CONTACT_S + 4.0, make_bad, make_sound
+        )
+        assert len(platform.crash_times_s) >= CRASHES_TO_STOP_AFTER
+        assert sent_on_count(platform) <= SENT_ON_MAX
+        later = statuses[len(statuses) // 2 :]
+        assert later.count(200) >= 0.9 * len(later)
+
+
+# Guards against a deadly request that is not known again by another query each time.
+async def test_repeats_whose_query_differs_each_time_are_sent_on_no_more(session):
+    lines = [stop_look_up(number)[0] for number in range(100)]
+    async with deployment(services=6, gateways=3) as platform:
+        platform.crashing.line_points = {
+            f"{method} {target}": CrashPoint(0.04) for method, target in lines
+        }
+        await send_repeats(
+            session, platform, LOOKUP, CONTACT_S + 4.0, make_bad=stop_look_up
+        )
+        assert len(platform.crash_times_s) >= CRASHES_TO_STOP_AFTER
+        assert sent_on_count(platform) <= SENT_ON_MAX
+
+
 async def test_crash_is_logged_with_the_requests_that_were_open(session):
     async with deployment(services=1) as platform:
         process = platform.gateways[0]
--- a/src/boragespring/quarantine/archive.py
+++ b/src/boragespring/quarantine/archive.py
@@ -17,7 +17,6 @@
 from boragespring.fleet import ServerProcess
 from boragespring.json_document import parse_json
 from boragespring.quarantine.crashes import Crash
-from boragespring.quarantine.culprits import Culprit
 from boragespring.quarantine.quarantine import RequestQuarantine
 from boragespring.store import KeyValue, KeyValueStore, StoreError
 from boragespring.store.store import ABSENT_REVISION, ConditionalWrite, WatchEvent
@@ -128,7 +127,8 @@
             "server": crash.process.server_id,
             "started_at_ms": crash.process.started_at_ms,
             "service": crash.service,
-            "runs": _implicating_runs(crash, culprit),
+            # What else the runs had may be cleared by now, which is not stored.
+            "runs": [sorted(culprit.traits)],
         }
         for culprit in quarantine.culprits
         for crash in culprit.crashes
@@ -137,11 +137,6 @@
     return json.dumps({"crashes": rows}).encode()
 
 
-def _implicating_runs(crash: Crash, culprit: Culprit) -> list[list[str]]:
-    """Return the runs of a crash that have all traits of a culprit."""
-    return sorted(sorted(run) for run in crash.suspects if culprit.traits <= run)
-
-
 def _decode(value: bytes) -> list[Crash]:
     rows: list[dict[str, Any]] = parse_json(value)["crashes"]
     now_s = time.monotonic()
--- a/src/boragespring/quarantine/culprits.py
+++ b/src/boragespring/quarantine/culprits.py
@@ -8,7 +8,7 @@
 from boragespring.quarantine.crash_index import ANY_SERVICE, ServiceTrait
 from boragespring.quarantine.crashes import Crash, Traits
 from boragespring.quarantine.evidence import CrashEvidence, Implicated
-from boragespring.quarantine.request_identity import is_request_trait
+from boragespring.quarantine.request_identity import is_request_trait, specificity_of
 
 __all__ = ["Culprit", "CulpritSettings", "find_culprits"]
 
@@ -107,6 +107,23 @@
             del implicated[key]
 
 
+def _merge_requests(traits: Traits, evidence: CrashEvidence) -> Traits:
+    """Keep one of the traits that identify a request more and less narrowly.
+
+    That is the broadest one, as repeats may differ in the rest, but for those that
+    answers have cleared of more crashes.
+    """
+    requests = frozenset(filter(is_request_trait, traits))
+    if not requests:
+        return traits
+
+    def soundness(trait: str) -> tuple[int, int]:
+        cleared = evidence.cleared_count(ServiceTrait(ANY_SERVICE, trait))
+        return cleared, specificity_of(trait)
+
+    return traits - requests | {min(requests, key=soundness)}
+
+
 def _most_likely_culprit(implicated: Implicated, evidence: CrashEvidence) -> Culprit:
     """Return the culprit that explains most crashes.
 
@@ -127,7 +144,7 @@
     explained = implicated[leader]
     # Traits that occurred together in all of these runs are held together.
     runs = itertools.chain.from_iterable(explained.values())
-    traits = frozenset.intersection(*runs)
+    traits = _merge_requests(frozenset.intersection(*runs), evidence)
     is_request = any(map(is_request_trait, traits))
     return Culprit(
         ANY_SERVICE if is_request else leader.service,
--- a/src/boragespring/quarantine/evidence.py
+++ b/src/boragespring/quarantine/evidence.py
@@ -158,7 +158,7 @@
         """
         if not self.knows_outline(identity.outline):
             return prompt
-        return prompt | {identity.trait}
+        return prompt | identity.traits
 
     def knows_outline(self, outline: str) -> bool:
         """Return whether a request that may be the same is implicated in a crash."""
--- a/src/boragespring/quarantine/quarantine.py
+++ b/src/boragespring/quarantine/quarantine.py
@@ -194,7 +194,8 @@
     def record_answer(self, service: str, identity: RequestIdentity) -> None:
         """Clear a request that a server has answered in whole.
 
-        What a run writes before its end says nothing about its request.
+        Other requests are cleared only of what they have in common with it. What a run
+        writes before its end says nothing about its request.
 
         Parameters
         ----------
@@ -208,8 +209,9 @@
         if is_large and not self.evidence.knows_outline(identity.outline):
             return
         now_s = self._clock()
-        self._answered_requests.add(ServiceTrait.of(service, identity.trait), now_s)
-        self._clear(service, frozenset([identity.trait]), now_s)
+        for trait in identity.traits:
+            self._answered_requests.add(ServiceTrait.of(service, trait), now_s)
+        self._clear(service, identity.traits, now_s)
 
     def merge(
         self, crashes: Iterable[Crash], clearances: Iterable[Clearance]
--- a/src/boragespring/quarantine/tests/test_archive.py
+++ b/src/boragespring/quarantine/tests/test_archive.py
@@ -1,5 +1,6 @@
 """Stored crashes that cannot be used."""
 
+import asyncio
 import json
 import logging
 
@@ -14,7 +15,15 @@
     QuarantineSettings,
     RequestQuarantine,
 )
-from boragespring.store import KeyValue
+from boragespring.quarantine.tests.test_requests import (
+    SERVICE,
+    crash,
+    is_refused,
+    look_up,
+    make_quarantine,
+    run_of,
+)
+from boragespring.store import Keyspace, KeyValue, MemoryStore
 
 VALID_ROW = {
     "server": "i-1",
@@ -46,3 +55,36 @@
     archive.on_snapshot([KeyValue(CRASHES_KEY, value, 1, 1)], False)
     assert "crashes_unreadable" in caplog.messages
     assert not quarantine.evidence.crashes
+
+
+def make_archive(store, quarantine):
+    settings = CrashArchiveSettings(interval_s=0.01)
+    return CrashArchive(store, quarantine, lambda key: True, settings, DecisionLog())
+
+
+async def restart_all(quarantine):
+    """Return the quarantine of a gateway that knows only what the store holds."""
+    store = MemoryStore(Keyspace())
+    archive = make_archive(store, quarantine)
+    archive.on_snapshot([], False)
+    writing = asyncio.create_task(archive.run())
+    async with asyncio.timeout(2.0):
+        while (found := await store.get(CRASHES_KEY)).item is None:
+            await asyncio.sleep(0.01)
+    writing.cancel()
+    restarted = make_quarantine()
+    make_archive(store, restarted).on_snapshot([found.item], False)
+    return restarted
+
+
+# Guards against a quarantine that covers more after a restart, as clearances are not
+# stored.
+async def test_stored_quarantine_covers_no_more_than_the_one_before():
+    quarantine = make_quarantine()
+    for number in range(3):
+        quarantine.record_answer(SERVICE, look_up(5))
+        crash(quarantine, number, silent=[run_of(look_up(13), "part")])
+    restarted = await restart_all(quarantine)
+    for each in (quarantine, restarted):
+        assert is_refused(each, look_up(13), "part")
+        assert not is_refused(each, look_up(7), "part")
--- a/src/boragespring/quarantine/tests/test_requests.py
+++ b/src/boragespring/quarantine/tests/test_requests.py
@@ -4,6 +4,8 @@
 import random
 import time
 
+import pytest
+
 from boragespring.decisions import DecisionLog
 from boragespring.fleet import ServerProcess
 from boragespring.quarantine import (
@@ -33,7 +35,7 @@
 
 
 def run_of(identity, *parts):
-    return frozenset([identity.trait, *parts])
+    return identity.traits | frozenset(parts)
 
 
 def crash(
@@ -144,6 +146,111 @@
     assert not is_refused(quarantine, BAD)
 
 
+def look_up(stop, method="GET", language="es"):
+    headers = (("Accept-Language", language),)
+    return RequestIdentity(
+        "host", "/look/stop", "coop", b"", method, f"id={stop}", headers
+    )
+
+
+# Guards against a deadly request that sound ones with another query, another method or
+# another header clear of each crash.
+@pytest.mark.parametrize(
+    ("deadly", "sound"),
+    [
+        (look_up(13), look_up(5)),
+        (look_up(13, "DELETE"), look_up(13)),
+        (look_up(13, "DELETE"), look_up(5)),
+        (look_up(13, language="qu"), look_up(13)),
+    ],
+)
+@pytest.mark.parametrize("is_answered_before", [True, False])
+def test_sound_answers_clear_only_what_they_share(deadly, sound, is_answered_before):
+    clock = Clock()
+    quarantine = make_quarantine(clock)
+    for number in range(3):
+        if is_answered_before:
+            quarantine.record_answer(SERVICE, sound)
+        crash(
+            quarantine,
+            number,
+            silent=[run_of(deadly), run_of(sound)],
+            at_s=clock.now_s,
+        )
+        clock.now_s += 0.5
+        if not is_answered_before:
+            quarantine.record_answer(SERVICE, sound)
+    assert is_refused(quarantine, deadly)
+    assert not is_refused(quarantine, sound)
+    assert not is_refused(quarantine, look_up(7))
+
+
+# Guards against a deadly request that is not known again by another query each time.
+def test_repeats_whose_query_differs_each_time_are_refused():
+    clock = Clock()
+    quarantine = make_quarantine(clock)
+    for number in range(3):
+        crash(quarantine, number, silent=[run_of(look_up(number))], at_s=clock.now_s)
+        clock.now_s += 0.5
+        quarantine.record_answer(SERVICE, SOUND)
+    assert is_refused(quarantine, look_up(99))
+    assert not is_refused(quarantine, SOUND)
+
+
+def test_repeats_whose_query_differs_are_refused_beside_sound_ones_of_other_methods():
+    clock = Clock()
+    quarantine = make_quarantine(clock)
+    for number in range(3):
+        deadly = look_up(number, "DELETE")
+        crash(quarantine, number, silent=[run_of(deadly)], at_s=clock.now_s)
+        clock.now_s += 0.5
+        quarantine.record_answer(SERVICE, look_up(number))
+    assert is_refused(quarantine, look_up(99, "DELETE"))
+    assert not is_refused(quarantine, look_up(99))
+
+
+def test_request_that_comes_again_unchanged_is_refused_with_any_query():
+    clock = Clock()
+    quarantine = make_quarantine(clock)
+    for number in range(3):
+        crash(quarantine, number, silent=[run_of(look_up(13))], at_s=clock.now_s)
+    assert is_refused(quarantine, look_up(13))
+    # The users' pages tell requests apart by path, caller and body.
+    assert is_refused(quarantine, look_up(99))
+    quarantine.record_answer(SERVICE, look_up(5))
+    clock.now_s += 0.5
+    quarantine.record_answer(SERVICE, look_up(5))
+    assert is_refused(quarantine, look_up(13))
+    assert not is_refused(quarantine, look_up(99))
+
+
+# Guards against a request that is refused with all others of its path, although one of
+# them was answered between the crashes.
+def test_narrower_request_is_held_where_a_broader_one_was_cleared_once():
+    clock = Clock()
+    quarantine = make_quarantine(clock)
+    crash(quarantine, 0, silent=[run_of(look_up(13))], at_s=clock.now_s)
+    clock.now_s += 0.5
+    quarantine.record_answer(SERVICE, look_up(5))
+    clock.now_s += 5.0
+    for number in range(1, 4):
+        crash(quarantine, number, silent=[run_of(look_up(13))], at_s=clock.now_s)
+    assert is_refused(quarantine, look_up(13))
+    assert not is_refused(quarantine, look_up(5))
+
+
+def test_answer_to_the_trial_of_a_narrower_request_releases_it():
+    clock = Clock()
+    quarantine = make_quarantine(clock)
+    for number in range(3):
+        quarantine.record_answer(SERVICE, look_up(5))
+        crash(quarantine, number, silent=[run_of(look_up(13))], at_s=clock.now_s)
+    assert is_refused(quarantine, look_up(13))
+    clock.now_s += 61.0
+    quarantine.record_answer(SERVICE, look_up(13))
+    assert not is_refused(quarantine, look_up(13))
+
+
 def test_request_that_many_send_is_not_blamed_as_a_zone_loses_power():
     clock = Clock()
     quarantine = make_quarantine(clock)
