Find a part of prompts that crashes engines wherever it stands

Cause: only the first 32 parts of a prompt were compared, and of a run with more than 256 traits only the request was kept: two bounds on memory, put where they decide what is found. `parts` in `server_crashed` ended with the 32nd.

All shared parts count now. A prompt's parts are read from its header when they are needed. One trait stands for all that occur in the same runs, and log lines name 32 parts at most.

--- a/src/boragespring/forwarding/__init__.py
+++ b/src/boragespring/forwarding/__init__.py
@@ -41,6 +41,7 @@
 from boragespring.forwarding.move_scheduler import MoveScheduler
 from boragespring.forwarding.placement import PlacementSettings
 from boragespring.forwarding.progress import RequestProgress, RequestStage
+from boragespring.forwarding.prompts import part_ids
 from boragespring.forwarding.request_tracker import OpenRequests, RequestTracker
 from boragespring.forwarding.retry_budget import RetryBudget, RetryBudgetSettings
 from boragespring.forwarding.server_statements import ServerStatement, ServerStatements
@@ -91,5 +92,6 @@
     "BufferedForwarder",
     "BufferedSettings",
     "UnansweredRequests",
+    "part_ids",
     "traits_of",
 ]
--- a/src/boragespring/forwarding/crash_detection.py
+++ b/src/boragespring/forwarding/crash_detection.py
@@ -31,6 +31,8 @@
 
 #: Size of a body from which on a request is identified in another thread.
 LARGE_BODY_BYTES = 65_536
+#: Maximum number of parts of a prompt that are logged for each run at a crash.
+LOGGED_PARTS_MAX = 32
 #: Number of characters of an error that are logged.
 REASON_MAX_CHARACTERS = 300
 
@@ -293,7 +295,7 @@
                     "request": run.job.identity.trait,
                     "has_reply": run.has_reply,
                     "is_starting": run.is_starting,
-                    "parts": sorted(run.job.shared_prompt),
+                    "parts": sorted(run.job.shared_prompt)[:LOGGED_PARTS_MAX],
                 }
                 for run_id, run in listed.items()
             ],
--- a/src/boragespring/forwarding/jobs.py
+++ b/src/boragespring/forwarding/jobs.py
@@ -118,6 +118,12 @@
         prompt = self.request.prompt
         return prompt.shared_part_ids if prompt is not None else NO_PROMPT
 
+    @property
+    def logged_prompt(self) -> list[str]:
+        """The first of these parts, for the log."""
+        prompt = self.request.prompt
+        return prompt.logged_part_ids if prompt is not None else []
+
     @cached_property
     def identity(self) -> RequestIdentity:
         """What makes other requests the same."""
@@ -157,6 +163,8 @@
 
 def traits_of(job: Job, evidence: CrashEvidence) -> Traits:
     """Return the traits of a job that may be implicated in crashes."""
+    if not evidence.has_crashes:
+        return NO_PROMPT
     return evidence.known_traits(job.shared_prompt, job.identity)
 
 
--- a/src/boragespring/forwarding/messages.py
+++ b/src/boragespring/forwarding/messages.py
@@ -1,6 +1,5 @@
 """Define requests, replies and refusals independently of any wire format."""
 
-import hashlib
 from collections.abc import AsyncIterator
 from enum import Enum, StrEnum, auto
 from typing import Protocol
@@ -10,6 +9,7 @@
 from boragespring.fleet import BackendServer, ServerAddress
 from boragespring.fleet.model import ServerReport
 from boragespring.forwarding.progress import RequestProgress
+from boragespring.forwarding.prompts import PromptPart, PromptShape
 from boragespring.http.connection_watch import ConnectionWatch
 from boragespring.http.reply_end import ReplyFraming
 
@@ -32,65 +32,6 @@
 
 Headers = tuple[tuple[str, str], ...]
 
-#: Maximum number of parts of one prompt that are compared with other prompts.
-SHARED_PARTS_MAX = 32
-#: Length from which on a digest stands for the identifier of a part. Callers choose
-#: identifiers, and gateways send each other those of runs that were open at crashes.
-PART_ID_MAX_CHARACTERS = 40
-PART_DIGEST_BYTES = 16
-
-
-@frozen
-class PromptPart:
-    """Segment of a prompt that can be shared with other requests.
-
-    Parameters
-    ----------
-    part_id : str
-        Identifier of the segment.
-    tokens : int
-        Length of the segment in tokens.
-    """
-
-    part_id: str
-    tokens: int
-
-
-@frozen
-class PromptShape:
-    """Size of a generation as stated by its request.
-
-    Parameters
-    ----------
-    prompt_tokens : int
-        Length of the prompt in tokens.
-    output_max_tokens : int
-        Maximum length of the answer in tokens.
-    output_hint_tokens : int or None
-        Caller's estimate of the length of the answer in tokens. It is accurate at
-        the median only; individual answers can deviate widely.
-    parts : tuple of PromptPart
-        Segments of the prompt in order; the last one is unique to the request.
-    """
-
-    prompt_tokens: int
-    output_max_tokens: int
-    output_hint_tokens: int | None = None
-    parts: tuple[PromptPart, ...] = ()
-
-    @property
-    def shared_part_ids(self) -> frozenset[str]:
-        """Identifiers of the parts that other requests may have as well."""
-        shared = self.parts[:-1][:SHARED_PARTS_MAX]
-        return frozenset(_bounded_id(part.part_id) for part in shared)
-
-    @property
-    def output_tokens(self) -> float:
-        """Expected length of the answer in tokens."""
-        if self.output_hint_tokens is None:
-            return float(self.output_max_tokens)
-        return float(min(self.output_hint_tokens, self.output_max_tokens))
-
 
 class Reachability(Enum):
     """How the address of a server responds to a new connection."""
@@ -101,14 +42,6 @@
     SILENT = auto()
 
 
-def _bounded_id(part_id: str) -> str:
-    """Return an identifier of bounded length that is equal for equal parts."""
-    if len(part_id) <= PART_ID_MAX_CHARACTERS:
-        return part_id
-    encoded = part_id.encode(errors="surrogateescape")
-    return hashlib.blake2b(encoded, digest_size=PART_DIGEST_BYTES).hexdigest()
-
-
 @frozen
 class CallerRequest:
     """Request as sent by a caller.
--- a/src/boragespring/forwarding/streaming.py
+++ b/src/boragespring/forwarding/streaming.py
@@ -197,7 +197,7 @@
                 memory_tokens=round(server.load.memory_tokens),
                 prefill_tokens=round(server.load.prefill_tokens),
                 catalog_version=job.catalog_version,
-                shared_parts=sorted(job.shared_prompt),
+                shared_parts=job.logged_prompt,
             )
         return server
 
--- a/src/boragespring/gateway_peers/tests/test_crashes.py
+++ b/src/boragespring/gateway_peers/tests/test_crashes.py
@@ -92,6 +92,32 @@
     play(scenario)
 
 
+# Guards against news of dropped parts that gateways send each other without end.
+def test_news_of_crashes_with_more_parts_than_are_kept_ends():
+    async def scenario():
+        fleet = PeerFleet(6, 3, 2)
+        await asyncio.sleep(1.0)
+        names = sorted(fleet.gateways)
+        for number in range(12):
+            parts = (f"{number}-{part}" for part in range(3000))
+            gateway = fleet.gateways[names[number % len(names)]]
+            gateway.quarantine.record_crash(make_crash(number, *parts, "bad"))
+            await asyncio.sleep(0.1)
+        assert refusing(fleet) == set(names)
+        await asyncio.sleep(1.0)
+        received = crash_messages(fleet)
+        fleet.cut_zone = "zone-1"
+        await asyncio.sleep(3.0)
+        fleet.cut_zone = None
+        await asyncio.sleep(3.0)
+        after_reunion = crash_messages(fleet)
+        await asyncio.sleep(5.0)
+        assert crash_messages(fleet) == after_reunion > received
+        assert refusing(fleet) == set(names)
+
+    play(scenario)
+
+
 class CapturingLink:
     """Link that keeps the messages that are sent over it."""
 
--- a/src/boragespring/platform/emulator/engine.py
+++ b/src/boragespring/platform/emulator/engine.py
@@ -23,6 +23,8 @@
 
 __all__ = ["EmulatedEngine"]
 
+#: Maximum length of a line in the head of a request.
+HEADER_LINE_MAX_BYTES = 64 * 2**10
 _LOOPBACK = "127.0.0.1"
 #: Time within which a crash ends all requests of an engine.
 _CRASH_TIMEOUT_S = 5.0
@@ -160,7 +162,12 @@
         app.router.add_delete("/kv-handle/{copy}", self._handle_copy_delete)
         app.router.add_post("/{path:.*}", self._handle_generate)
         self._runner = web.AppRunner(
-            app, access_log=None, handler_cancellation=True, shutdown_timeout=0.01
+            app,
+            access_log=None,
+            handler_cancellation=True,
+            shutdown_timeout=0.01,
+            max_line_size=HEADER_LINE_MAX_BYTES,
+            max_field_size=HEADER_LINE_MAX_BYTES,
         )
         await self._runner.setup()
         await web.TCPSite(self._runner, _LOOPBACK, self.port).start()
--- a/src/boragespring/platform/http_server.py
+++ b/src/boragespring/platform/http_server.py
@@ -18,8 +18,6 @@
 from boragespring.forwarding import (
     CallerReply,
     CallerRequest,
-    PromptPart,
-    PromptShape,
     Refusal,
     RefusalReason,
     RequestProgress,
@@ -39,6 +37,7 @@
 )
 from boragespring.platform import names
 from boragespring.platform.caller_reply import HttpCallerReply
+from boragespring.platform.prompt_codec import decode_prompt, parse_number
 from boragespring.settings import AddressSettings
 
 __all__ = ["GatewayHttpServer", "RequestHandler", "connection_limits"]
@@ -52,9 +51,6 @@
     names.TOKEN_COUNTS,
     names.PROMPT_PARTS,
 )
-#: Longest number in a header that is used.
-NUMBER_MAX_DIGITS = 12
-
 
 OUT_OF_MEMORY = Refusal(
     RefusalReason.OUT_OF_MEMORY,
@@ -300,7 +296,7 @@
         credential=headers.get(names.CREDENTIAL, ""),
         arrived_at_s=progress.arrived_at_s,
         deadline_s=progress.deadline_s,
-        prompt=_parse_prompt(headers),
+        prompt=decode_prompt(headers),
         last_event_id=headers.get(names.LAST_EVENT_ID, ""),
         progress=progress,
     )
@@ -332,37 +328,7 @@
     )
 
 
-def _parse_number(text: str | None) -> int | None:
-    """Return a number that is not negative, or None if the text is no usable one."""
-    digits = (text or "").strip()
-    is_usable = digits.isdecimal() and len(digits) <= NUMBER_MAX_DIGITS
-    return int(digits) if is_usable else None
-
-
 def _parse_time_remaining(text: str | None) -> float:
     """Return the remaining time in seconds from a header in milliseconds."""
-    remaining_ms = _parse_number(text)
+    remaining_ms = parse_number(text)
     return DEFAULT_TIME_REMAINING_S if remaining_ms is None else remaining_ms / 1000
-
-
-def _parse_prompt(headers: CIMultiDictProxy[str]) -> PromptShape | None:
-    """Return the token counts of a prompt, or None if they are missing or invalid."""
-    counts = [
-        _parse_number(text) for text in headers.get(names.TOKEN_COUNTS, "").split(",")
-    ]
-    if len(counts) != 2 or counts[0] is None or counts[1] is None:
-        return None
-    return PromptShape(
-        prompt_tokens=counts[0],
-        output_max_tokens=counts[1],
-        output_hint_tokens=_parse_number(headers.get(names.OUTPUT_LENGTH_HINT)),
-        parts=tuple(_parse_prompt_parts(headers.get(names.PROMPT_PARTS, ""))),
-    )
-
-
-def _parse_prompt_parts(text: str) -> Iterable[PromptPart]:
-    for entry in filter(None, text.split(",")):
-        part_id, _, count = entry.strip().partition(":")
-        tokens = _parse_number(count)
-        if tokens is not None:
-            yield PromptPart(part_id, tokens)
--- a/src/boragespring/platform/tests/test_crashing_prompts.py
+++ b/src/boragespring/platform/tests/test_crashing_prompts.py
@@ -1,10 +1,12 @@
 """Requests with a part in their prompts that crashes the engines."""
 
 import asyncio
+import random
 import time
 
 import aiohttp
 import pytest
+from pythonjsonlogger.json import JsonFormatter
 
 from boragespring.child_processes import free_ports
 from boragespring.platform import names
@@ -18,6 +20,8 @@
 from boragespring.quarantine import CRASHES_KEY
 
 BAD = "bad1"
+#: 200 lines a second of this size are 1 MB.
+LOG_LINE_MAX_BYTES = 5_000
 
 
 def crashing_headers(request_id, *parts, output_tokens=20, prompt_tokens=200):
@@ -144,6 +148,59 @@
         assert statuses == [200] * 6
 
 
+#: Parts that sound prompts share. 12 characters each, they fill a head of 16 KiB.
+SHARED_PARTS = [f"{number:08x}" for number in range(1, 1800)]
+
+
+async def send_long_prompts(session, platform, duration_s, parts_before):
+    """Send prompts with the part behind others, and sound ones of the same length."""
+    rng = random.Random(parts_before)
+    bad, sound = [], []
+    end_s = time.monotonic() + duration_s
+    while time.monotonic() < end_s:
+        number = len(bad)
+        process = platform.gateways[number % len(platform.gateways)]
+        parts = rng.sample(SHARED_PARTS, parts_before + 1)
+        for kind, tasks, last in (("bad", bad, BAD), ("sound", sound, parts[-1])):
+            sent = send(session, process, f"{kind}-{number}", *parts[:-1], last)
+            tasks.append(asyncio.create_task(sent))
+        await asyncio.sleep(0.15)
+    await asyncio.gather(*bad)
+    return await asyncio.gather(*sound)
+
+
+# Guards against a part that is never found behind many others, wherever it stands.
+@pytest.mark.parametrize("parts_before", [33, 300, 1250])
+async def test_part_behind_many_others_is_sent_on_no_more(session, parts_before):
+    async with deployment(engines=8, gateways=3) as platform:
+        platform.crashing_parts.add(BAD)
+        statuses = await send_long_prompts(
+            session, platform, CONTACT_S + 4.0, parts_before
+        )
+        assert len(platform.crash_times_s) >= 3
+        assert arrivals_with(platform, BAD, sent_on_bound_s(platform)) <= SENT_ON_MAX
+        later = statuses[len(statuses) // 2 :]
+        assert later.count(200) >= 0.9 * len(later)
+
+
+async def test_log_lines_of_long_prompts_are_bounded(session):
+    parts = SHARED_PARTS[:1250]
+    async with deployment(engines=4) as platform:
+        process = platform.gateways[0]
+        platform.crashing_parts.add(BAD)
+        for number in range(3):
+            assert await send(session, process, f"bad-{number}", *parts, BAD) == 502
+            await asyncio.sleep(0.1)
+        # All parts stood together at all crashes.
+        assert await send(session, process, "r1", *parts, BAD) == 503
+        lines = process.metadata["lines"].records
+        assert {"placed", "server_crashed", "quarantined", "quarantine_refused"} <= {
+            line.getMessage() for line in lines
+        }
+        formatter = JsonFormatter()
+        assert max(len(formatter.format(line)) for line in lines) < LOG_LINE_MAX_BYTES
+
+
 async def crash_three_servers(session, platform):
     """Let three requests with the part crash a server each."""
     for number in range(3):
--- a/src/boragespring/quarantine/clearances.py
+++ b/src/boragespring/quarantine/clearances.py
@@ -91,9 +91,20 @@
     def forget(self, process: ServerProcess) -> None:
         """Forget the clearances of one crash."""
         cleared = self._by_process.pop(process, None)
-        if cleared is None:
-            return
-        for key in cleared.keys.values():
+        if cleared is not None:
+            self._forget_keys(process, cleared.keys.values())
+
+    def forget_traits(self, process: ServerProcess, traits: Traits) -> None:
+        """Forget that some traits are cleared of a crash."""
+        cleared = self._by_process.get(process)
+        if cleared is not None:
+            found = traits & cleared.keys.keys()
+            self._forget_keys(process, [cleared.keys.pop(trait) for trait in found])
+
+    def _forget_keys(
+        self, process: ServerProcess, keys: Iterable[ServiceTrait]
+    ) -> None:
+        for key in keys:
             self._processes[key].discard(process)
             if not self._processes[key]:
                 del self._processes[key]
--- a/src/boragespring/quarantine/crash_index.py
+++ b/src/boragespring/quarantine/crash_index.py
@@ -52,8 +52,6 @@
         Crashes that runs with the trait may have caused.
     suspects : dict of Crash to frozenset of Traits
         Runs that may have caused each crash.
-    keys : dict of Crash to dict of str to ServiceTrait
-        Keys of the traits of these runs.
     outlines : Counter of str
         Outlines of the requests that were open, with the number of their traits at
         crashes.
@@ -62,32 +60,41 @@
     crashes: dict[ServiceTrait, dict[ServerProcess, float]] = field(factory=dict)
     implicating: dict[ServiceTrait, list[Crash]] = field(factory=dict)
     suspects: dict[Crash, frozenset[Traits]] = field(factory=dict)
-    keys: dict[Crash, dict[str, ServiceTrait]] = field(factory=dict)
     outlines: "Counter[str]" = field(factory=Counter)
 
     def add(self, crash: Crash) -> None:
         """Add a crash that is not in the index."""
-        for key in _open_traits(crash):
-            self.crashes.setdefault(key, {})[crash.process] = crash.at_s
+        keys = _keys_of(crash)
+        # Most traits occur at one crash, and share these objects.
+        alone, only = {crash.process: crash.at_s}, [crash]
+        for key in keys.values():
+            crashes = self.crashes.get(key)
+            self.crashes[key] = alone if crashes is None else {**crashes, **alone}
             self._count_outline(key, 1)
         self.suspects[crash] = crash.suspects
-        suspected = _suspected_traits(crash)
-        self.keys[crash] = {key.trait: key for key in suspected}
-        for key in suspected:
-            self.implicating.setdefault(key, []).append(crash)
+        for trait in _traits_of_runs(crash.suspects):
+            found = self.implicating.get(keys[trait])
+            self.implicating[keys[trait]] = only if found is None else [*found, crash]
 
     def remove(self, crash: Crash) -> None:
         """Remove a crash that is in the index."""
-        for key in _open_traits(crash):
-            del self.crashes[key][crash.process]
-            if not self.crashes[key]:
-                del self.crashes[key]
+        keys = _keys_of(crash)
+        for key in keys.values():
+            crashes = dict(self.crashes.pop(key))
+            del crashes[crash.process]
+            if crashes:
+                self.crashes[key] = crashes
             self._count_outline(key, -1)
-        del self.suspects[crash]
-        for key in self.keys.pop(crash).values():
-            self.implicating[key].remove(crash)
-            if not self.implicating[key]:
-                del self.implicating[key]
+        for trait in _traits_of_runs(self.suspects.pop(crash)):
+            found = self.implicating.pop(keys[trait])
+            # A comparison of crashes takes longer than one of their identities.
+            left = [each for each in found if each is not crash]
+            if left:
+                self.implicating[keys[trait]] = left
+
+    def is_repeated(self, key: ServiceTrait) -> bool:
+        """Return whether runs with a trait may have caused more than one crash."""
+        return len(self.implicating.get(key, ())) > 1
 
     def _count_outline(self, key: ServiceTrait, change: int) -> None:
         if not is_request_trait(key.trait):
@@ -98,14 +105,13 @@
             del self.outlines[outline]
 
 
-def _open_traits(crash: Crash) -> set[ServiceTrait]:
-    return _traits_of_runs(crash, (*crash.starting, *crash.silent, *crash.writing))
-
-
-def _suspected_traits(crash: Crash) -> set[ServiceTrait]:
-    return _traits_of_runs(crash, crash.suspects)
+def _keys_of(crash: Crash) -> dict[str, ServiceTrait]:
+    """Return the keys of all traits of the runs that were open at a crash."""
+    runs = itertools.chain(crash.starting, crash.silent, crash.writing)
+    return {
+        trait: ServiceTrait.of(crash.service, trait) for trait in _traits_of_runs(runs)
+    }
 
 
-def _traits_of_runs(crash: Crash, runs: Iterable[Traits]) -> set[ServiceTrait]:
-    traits = itertools.chain.from_iterable(runs)
-    return {ServiceTrait.of(crash.service, trait) for trait in traits}
+def _traits_of_runs(runs: Iterable[Traits]) -> set[str]:
+    return set(itertools.chain.from_iterable(runs))
--- a/src/boragespring/quarantine/quarantine.py
+++ b/src/boragespring/quarantine/quarantine.py
@@ -18,6 +18,8 @@
 
 __all__ = ["RequestQuarantine", "QuarantineDecision", "QuarantineSettings"]
 
+#: Maximum number of traits that are logged of those that are held together.
+LOGGED_TRAITS_MAX = 32
 #: Called with crashes and clearances that were not known before.
 NewsHook = Callable[[Iterable[Crash], Iterable[Clearance]], None]
 #: Called with each crash that was not known before, whichever gateway detected it.
@@ -319,9 +321,12 @@
 
     def _describe(self, culprit: Culprit) -> dict[str, Any]:
         now_s = self._clock()
+        traits = sorted(culprit.traits)
+        left_out = len(traits) - LOGGED_TRAITS_MAX
         return {
             "service": culprit.service or "any",
-            "traits": sorted(culprit.traits),
+            "traits": traits[:LOGGED_TRAITS_MAX],
+            **({"traits_left_out": left_out} if left_out > 0 else {}),
             "crashes": [
                 {
                     "server": crash.process.server_id,
