Bound replies without end, however many arrive at once

One such reply was bounded here; 200 at once were not.

Cause: what is held of an event that is not complete was counted nowhere; a request counted for 24 KiB, and its connection to the server takes more; a collected reply takes up to twice its bytes. Small chunks and pieces of an event cost time with what was there already. An agent read the body of an error reply whole.

Change: the unfinished event counts for its caller, a request counts for 64 KiB and each byte of a reply twice; replies of up to 8 KiB always have room. Whole plain chunks are skipped in one step, and little is read at once of small ones. Error replies to agents are read up to 1 MiB.

--- a/src/boragespring/engines/engine_client.py
+++ b/src/boragespring/engines/engine_client.py
@@ -235,9 +235,10 @@
     response: aiohttp.ClientResponse,
 ) -> CallNotRunError | GenerationFailedError:
     try:
-        detail = (await response.text(errors="replace"))[:MAX_ERROR_DETAIL_CHARACTERS]
-    except (aiohttp.ClientError, TimeoutError):
-        detail = ""
+        body = await read_body(response, REPORT_MAX_BYTES)
+        detail = body.decode(errors="replace")[:MAX_ERROR_DETAIL_CHARACTERS]
+    except (aiohttp.ClientError, TimeoutError) as error:
+        detail = str(error)
     finally:
         response.release()
     message = f"engine responded with status {response.status}: {detail}"
--- a/src/boragespring/forwarding/events.py
+++ b/src/boragespring/forwarding/events.py
@@ -1,6 +1,8 @@
 """Split a byte stream into server-sent events."""
 
-from attrs import define, frozen
+import re
+
+from attrs import define, field, frozen
 
 from boragespring.forwarding.errors import ReplyBrokenError
 
@@ -8,7 +10,8 @@
 
 #: Maximum size of one event.
 EVENT_MAX_BYTES = 2**20
-_DELIMITERS = (b"\n\n", b"\r\n\r\n")
+_DELIMITER = re.compile(rb"\n\n|\r\n\r\n")
+_DELIMITER_MAX_BYTES = len(b"\r\n\r\n")
 _LINE_BREAKS = b"\r\n"
 _ID_FIELD = b"id:"
 
@@ -33,18 +36,25 @@
 class EventSplitter:
     """Buffer bytes until they form complete events.
 
-    Parameters
-    ----------
-    remainder : bytes
-        Bytes received after the last complete event.
+    Each byte is searched once, however small the pieces are in which it arrives.
     """
 
-    remainder: bytes = b""
+    _buffer: bytearray = field(factory=bytearray)
+
+    @property
+    def remainder(self) -> bytes:
+        """Bytes received after the last complete event."""
+        return bytes(self._buffer)
+
+    @property
+    def remainder_bytes(self) -> int:
+        """Number of these bytes."""
+        return len(self._buffer)
 
     @property
     def is_within_event(self) -> bool:
         """Whether an event has begun and its terminating blank line is missing."""
-        return bool(self.remainder.strip(_LINE_BREAKS))
+        return bool(self._buffer.strip(_LINE_BREAKS))
 
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Append bytes and return the events that are now complete.
@@ -54,25 +64,19 @@
         ReplyBrokenError
             If an event is too large to hold.
         """
-        self.remainder += data
+        search_begin = max(0, len(self._buffer) - _DELIMITER_MAX_BYTES + 1)
+        self._buffer += data
         events: list[StreamEvent] = []
-        while (end := _first_event_end(self.remainder)) > 0:
-            events.append(_parse_event(self.remainder[:end]))
-            self.remainder = self.remainder[end:]
-        if len(self.remainder) > EVENT_MAX_BYTES:
+        begin = 0
+        for found in _DELIMITER.finditer(self._buffer, search_begin):
+            events.append(_parse_event(bytes(self._buffer[begin : found.end()])))
+            begin = found.end()
+        del self._buffer[:begin]
+        if len(self._buffer) > EVENT_MAX_BYTES:
             raise ReplyBrokenError(f"an event of more than {EVENT_MAX_BYTES} bytes")
         return events
 
 
-def _first_event_end(data: bytes) -> int:
-    ends = [
-        data.find(delimiter) + len(delimiter)
-        for delimiter in _DELIMITERS
-        if data.find(delimiter) >= 0
-    ]
-    return min(ends, default=0)
-
-
 def _parse_event(data: bytes) -> StreamEvent:
     id_line = next(
         (line for line in data.splitlines() if line.startswith(_ID_FIELD)), b""
--- a/src/boragespring/forwarding/stream_relay.py
+++ b/src/boragespring/forwarding/stream_relay.py
@@ -153,7 +153,9 @@
                 if stream.record_event(event.event_id):
                     self._record_pace()
                     await self._caller.write(event.data)
-            stream.unterminated_bytes = len(splitter.remainder)
+            stream.unterminated_bytes = splitter.remainder_bytes
+            if not stream.job.progress.hold_reply(splitter.remainder_bytes):
+                raise ReplyBrokenError("callers hold too much memory")
         if splitter.is_within_event:
             # An orderly close can be a broken run: without a length or chunks, the
             # connection is all that marks the end of the reply.
--- a/src/boragespring/http/bounded_reply.py
+++ b/src/boragespring/http/bounded_reply.py
@@ -21,7 +21,10 @@
 ]
 
 #: Amount of a reply that is read from the socket, and waits for its reader, at once.
-REPLY_PIECE_BYTES = 32 * 2**10
+REPLY_PIECE_BYTES = 16 * 2**10
+#: Amount that is read at once where chunks are smaller than this on average.
+SMALL_PIECE_BYTES = 2 * 2**10
+SMALL_CHUNK_BYTES = 64
 
 
 class BodyTooLargeError(aiohttp.ClientPayloadError):
@@ -72,12 +75,12 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Limit how much is read from the socket at once."""
         super().connection_made(transport)
-        # Amount that asyncio's transports on selectors read at once.
-        transport.max_size = REPLY_PIECE_BYTES  # type: ignore[attr-defined]
+        self._read_at_once(REPLY_PIECE_BYTES)
 
     def set_response_params(self, *, skip_payload: bool = False, **params: Any) -> None:
         """Prepare for the reply to the next request."""
         self._scan = ReplyScan(has_body=not skip_payload)
+        self._read_at_once(REPLY_PIECE_BYTES)
         super().set_response_params(skip_payload=skip_payload, **params)
 
     def data_received(self, data: bytes) -> None:
@@ -100,12 +103,30 @@
         """Return the part of the data that may be parsed."""
         if self._scan is None or self._scan.is_complete:
             raise UnsoundReplyError("bytes that belong to no request")
+        chunks_before = self._scan.chunks
         checked = self._scan.feed(data)
+        self._pace(len(data), self._scan.chunks - chunks_before)
         if self._scan.has_excess:
             # Nothing further on this connection belongs to a request.
             self.force_close()
         return checked
 
+    def _pace(self, data_bytes: int, chunks: int) -> None:
+        """Read less at once of small chunks, which take long to parse.
+
+        Many replies of small chunks would otherwise keep the event loop from all
+        others for a whole turn.
+        """
+        if data_bytes < SMALL_PIECE_BYTES:
+            return
+        is_small = chunks * SMALL_CHUNK_BYTES > data_bytes
+        self._read_at_once(SMALL_PIECE_BYTES if is_small else REPLY_PIECE_BYTES)
+
+    def _read_at_once(self, size_bytes: int) -> None:
+        if self.transport is not None:
+            # Attribute of asyncio's transports on selectors.
+            self.transport.max_size = size_bytes  # type: ignore[attr-defined]
+
     def _refuse(self, error: UnsoundReplyError) -> None:
         if self.transport is not None:
             self.transport.close()
--- a/src/boragespring/http/caller_connection.py
+++ b/src/boragespring/http/caller_connection.py
@@ -28,7 +28,9 @@
     HEAD_COST_FACTOR,
     HEADERS_MAX,
     RECEIVE_BYTES,
+    REPLY_COST_FACTOR,
     REQUEST_BYTES,
+    SMALL_REPLY_BYTES,
     ConnectionLimits,
     head_bytes,
     head_cost_bytes,
@@ -142,7 +144,7 @@
         """Count what is kept of a reply; return whether there is memory for it."""
         self._reply_bytes = size_bytes
         self._account()
-        return not self._budget.is_exhausted
+        return size_bytes <= SMALL_REPLY_BYTES or not self._budget.is_exhausted
 
     def evict(self, reason: EvictionReason) -> None:
         """Free what the connection holds; refuse its request, or close it."""
@@ -395,7 +397,8 @@
     def _account(self) -> None:
         """Report what the connection holds."""
         held_bytes = CONNECTION_BYTES + self._head_cost_bytes
-        held_bytes += self._read_ahead.size_bytes + self._reply_bytes
+        held_bytes += self._read_ahead.size_bytes
+        held_bytes += REPLY_COST_FACTOR * self._reply_bytes
         held_bytes += HEAD_COST_FACTOR * self._framing_bytes
         if self._upload is not None:
             body_bytes = self._limits.body_cost_factor * self._upload.kept_bytes
--- a/src/boragespring/http/connection_limits.py
+++ b/src/boragespring/http/connection_limits.py
@@ -11,7 +11,9 @@
     "HEADERS_MAX",
     "HEAD_COST_FACTOR",
     "RECEIVE_BYTES",
+    "REPLY_COST_FACTOR",
     "REQUEST_BYTES",
+    "SMALL_REPLY_BYTES",
     "ConnectionLimits",
     "head_bytes",
     "head_cost_bytes",
@@ -29,12 +31,17 @@
 #: Least size of a line in a head.
 HEAD_LINE_MIN_BYTES = len("a:\r\n")
 
-#: Cost in memory of a connection, of a request that is handled, of each line of a head,
-#: and of each byte of a head, which is kept as received and decoded.
+#: Cost in memory of a connection, of a request that is handled with the connection to
+#: its server, of each line of a head, and of each byte of a head, which is kept as
+#: received and decoded.
 CONNECTION_BYTES = 6 * 2**10
-REQUEST_BYTES = 24 * 2**10
+REQUEST_BYTES = 64 * 2**10
 HEAD_LINE_BYTES = 200
 HEAD_COST_FACTOR = 4
+#: Cost of each byte of a reply that is collected, which leaves gaps as it grows.
+REPLY_COST_FACTOR = 2
+#: Size of a reply for which there is always memory: its request counts for more.
+SMALL_REPLY_BYTES = 8 * 2**10
 #: Cost of each byte of a body that is copied on its way to a server.
 COPIED_BODY_COST_FACTOR = 2
 
--- a/src/boragespring/http/reply_scan.py
+++ b/src/boragespring/http/reply_scan.py
@@ -22,6 +22,8 @@
 CHUNK_LINE_MAX_BYTES = 4096
 TRAILERS_MAX_BYTES = 16 * 2**10
 _CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]{1,16})(?:[ \t]*;[\t\x20-\x7e\x80-\xff]*)?")
+#: Line of a chunk without extensions that is not the last one.
+_PLAIN_CHUNK_LINE = re.compile(rb"(?!0+\r)([0-9A-Fa-f]{1,16})\r\n")
 _LINE_END = b"\r\n"
 
 
@@ -73,6 +75,18 @@
     is_in_trailers: bool = False
     trailer_bytes: int = 0
     is_complete: bool = False
+    #: Number of chunks that have begun.
+    chunks: int = 0
+
+    @property
+    def is_between_chunks(self) -> bool:
+        """Whether the next byte begins a chunk."""
+        return not (
+            self.left_bytes
+            or self.is_after_chunk
+            or self.is_in_trailers
+            or self.lines.beginning
+        )
 
 
 _Body = _LengthBody | _OpenBody | _ChunkedBody
@@ -104,6 +118,10 @@
             body.left_bytes -= size_bytes
             begin += size_bytes
             continue
+        if body.is_between_chunks:
+            begin = _skip_whole_chunks(body, data, begin)
+            if begin == len(data):
+                break
         line, begin = body.lines.take(data, begin)
         if line is not None:
             _add_chunk_line(body, line)
@@ -112,6 +130,23 @@
     return begin
 
 
+def _skip_whole_chunks(body: _ChunkedBody, data: bytes, begin: int) -> int:
+    """Return where the chunks end that are plain and arrived as a whole.
+
+    A server can send many small chunks, so that each must take little time.
+    """
+    match_line = _PLAIN_CHUNK_LINE.match
+    chunks = 0
+    while (found := match_line(data, begin)) is not None:
+        end = found.end() + int(found[1], 16)
+        if data[end : end + len(_LINE_END)] != _LINE_END:
+            break
+        begin = end + len(_LINE_END)
+        chunks += 1
+    body.chunks += chunks
+    return begin
+
+
 def _add_chunk_line(body: _ChunkedBody, line: bytes) -> None:
     if body.is_after_chunk:
         body.is_after_chunk = False
@@ -124,6 +159,7 @@
     found = _CHUNK_LINE.fullmatch(line)
     if found is None:
         raise UnsoundReplyError(f"no size of a chunk: {excerpt(line)}")
+    body.chunks += 1
     body.left_bytes = int(found[1], 16)
     body.is_after_chunk = bool(body.left_bytes)
     body.is_in_trailers = not body.left_bytes
@@ -168,6 +204,11 @@
         """Whether all of the reply has arrived."""
         return self._body is not None and self._body.is_complete
 
+    @property
+    def chunks(self) -> int:
+        """Number of chunks of the body that have begun."""
+        return self._body.chunks if isinstance(self._body, _ChunkedBody) else 0
+
     def feed(self, data: bytes) -> bytes:
         """Check received bytes; return those of the reply that may be parsed.
 
--- a/src/boragespring/platform/tests/unruly_callers.py
+++ b/src/boragespring/platform/tests/unruly_callers.py
@@ -84,10 +84,10 @@
 
 
 @contextlib.asynccontextmanager
-async def gateway_process(directory, limits, caller_limits):
+async def gateway_process(directory, limits, caller_limits, routes=STANDARD_ROUTES):
     """Run the store and a server here, and a gateway in a process of its own."""
     network = LoopbackNetwork(90)
-    routes = [evolve(route, timeout_ms=ROUTE_TIMEOUT_MS) for route in STANDARD_ROUTES]
+    routes = [evolve(route, timeout_ms=ROUTE_TIMEOUT_MS) for route in routes]
     platform = EmulatedPlatform(limits=caller_limits, routes=routes)
     host = network.host(1)
     callers, ready, peers = free_ports(3)
