Keep the platform's names out of the HTTP tests

Cause: the server of raw replies in http/tests wrote the platform's own fields. Change: they stand in platform/tests/raw_replies.py; replies of http/tests have none.

--- a/src/boragespring/http/tests/raw_server.py
+++ b/src/boragespring/http/tests/raw_server.py
@@ -3,9 +3,6 @@
 import asyncio
 import contextlib
 
-REQUEST_ID = "Boragespring-Attempt-Id"
-SIGNATURE = "Boragespring-Response-Signature"
-
 
 @contextlib.asynccontextmanager
 async def raw_server(reply):
@@ -43,15 +40,16 @@
         await asyncio.sleep(0)
 
 
-def fill(head, headers):
-    """Return a head with the fields that make it one of a reply to a request."""
-    request_id = headers.get(REQUEST_ID, "")
-    fields = f"{REQUEST_ID}: {request_id}\r\n{SIGNATURE}: signed\r\n"
-    return head.replace("{fields}", fields).encode()
-
+def replies_with(head, body, create_fields=lambda headers: ""):
+    """Return a function for `raw_server` that replies to all requests alike.
 
-def replies_with(head, body):
-    """Return a function for `raw_server` that replies to all requests alike."""
+    `create_fields` returns the lines that take the place of ``{fields}``, given the
+    headers of a request.
+    """
     length = f"Content-Length: {len(body)}\r\n"
     framed = head.replace("Content-Length: 2\r\n", length)
-    return lambda method, target, headers: fill(framed, headers) + body
+
+    def reply(method, target, headers):
+        return framed.replace("{fields}", create_fields(headers)).encode() + body
+
+    return reply
--- a/src/boragespring/platform/tests/test_ambiguous_replies.py
+++ b/src/boragespring/platform/tests/test_ambiguous_replies.py
@@ -2,9 +2,10 @@
 
 import pytest
 
-from boragespring.http.tests.raw_server import REQUEST_ID, SIGNATURE, raw_server
-from boragespring.http.tests.raw_server import replies_with as replies
+from boragespring.http.tests.raw_server import raw_server
+from boragespring.platform import names
 from boragespring.platform.emulator.catalog import MODEL_SERVICE, PLAIN_SERVICE
+from boragespring.platform.tests.raw_replies import replies_with
 from boragespring.platform.tests.stream_support import post_draft
 from boragespring.platform.tests.support import deployment, request_headers
 from boragespring.platform.tests.test_unsound_replies import (
@@ -15,8 +16,8 @@
 )
 
 FIELDS = {
-    "second id": f"{REQUEST_ID}: other\r\n",
-    "second signature": f"{SIGNATURE}: other\r\n",
+    "second id": f"{names.REQUEST_ID}: other\r\n",
+    "second signature": f"{names.SIGNATURE}: other\r\n",
     "second encoding": "Content-Encoding: identity\r\nContent-Encoding: gzip\r\n",
     "encoding": "Content-Encoding: identity\r\n",
     "no encoding": "Content-Encoding: \r\n",
@@ -34,7 +35,7 @@
 @pytest.mark.parametrize("fields", FIELDS)
 async def test_caller_of_a_service_gets_no_ambiguous_reply(session, fields, status):
     async with (
-        raw_server(replies(make_head(status, fields), b"no")) as port,
+        raw_server(replies_with(make_head(status, fields), b"no")) as port,
         deployment(services=0) as platform,
     ):
         await register_and_wait(platform, "desk-9", PLAIN_SERVICE, port)
@@ -46,7 +47,7 @@
 @pytest.mark.parametrize("status", STATUSES)
 @pytest.mark.parametrize("fields", FIELDS)
 async def test_caller_of_a_stream_gets_no_ambiguous_reply(session, fields, status):
-    reply = with_report(replies(make_head(status, fields), EVENT))
+    reply = with_report(replies_with(make_head(status, fields), EVENT))
     async with raw_server(reply) as port, deployment(engines=0) as platform:
         await register_and_wait(platform, "engine-9", MODEL_SERVICE, port)
         async with post_draft(session, platform.gateways[0], "r1") as response:
--- a/src/boragespring/platform/tests/test_endless_workers.py
+++ b/src/boragespring/platform/tests/test_endless_workers.py
@@ -10,12 +10,12 @@
 
 import pytest
 
-from boragespring.http.tests.raw_server import REQUEST_ID, fill
 from boragespring.platform.emulator.catalog import (
     FURTHER_SERVICES,
     STANDARD_ROUTES,
     RouteSpec,
 )
+from boragespring.platform.tests.raw_replies import create_fields
 from boragespring.platform.tests.test_unruly_callers import CALLER_LIMITS, LIMITS
 from boragespring.platform.tests.unruly_callers import (
     Crowd,
@@ -62,11 +62,9 @@
     # A gateway also opens connections that carry nothing.
     with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
         lines = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
-        request_id = next(
-            (line for line in lines if line.startswith(REQUEST_ID)), ": "
-        ).split(": ", 1)[1]
+        headers = dict(line.split(": ", 1) for line in lines[1:] if line)
         text, piece = FORMS[form]
-        writer.write(fill(text, {REQUEST_ID: request_id}))
+        writer.write(text.replace("{fields}", create_fields(headers)).encode())
         while True:
             writer.write(piece)
             await writer.drain()
--- a/src/boragespring/platform/tests/test_unsound_replies.py
+++ b/src/boragespring/platform/tests/test_unsound_replies.py
@@ -6,16 +6,13 @@
 import pytest
 
 from boragespring.forwarding import Attempt, CallerRequest, ReplyLostError
-from boragespring.http.tests.raw_server import (
-    REQUEST_ID,
-    SIGNATURE,
-    raw_server,
-    replies_with,
-)
+from boragespring.http.tests.raw_server import raw_server
 from boragespring.http.tests.reply_heads import SOUND_HEADS, UNSOUND_HEADS
+from boragespring.platform import names
 from boragespring.platform.emulator.catalog import MODEL_SERVICE, PLAIN_SERVICE
 from boragespring.platform.server_calls import HttpServerCalls, ServerCallSettings
 from boragespring.platform.store_client import PlatformStore, PlatformStoreSettings
+from boragespring.platform.tests.raw_replies import replies_with
 from boragespring.platform.tests.stream_support import post_draft
 from boragespring.platform.tests.support import (
     deployment,
@@ -54,7 +51,7 @@
 
 def make_attempt():
     now_s = time.monotonic()
-    headers = ((REQUEST_ID, "r1"),)
+    headers = ((names.REQUEST_ID, "r1"),)
     request = CallerRequest(
         "r1", "POST", "desk.example", "/book/x", headers, b"", "", now_s, now_s + 5.0
     )
@@ -143,7 +140,7 @@
 
 async def check_refused(response):
     body = await response.read()
-    assert (response.status, SIGNATURE in response.headers) == (502, False)
+    assert (response.status, names.SIGNATURE in response.headers) == (502, False)
     assert not {"X Y", "X\x01Y", "X-Y"} & response.headers.keys()
     # No page of the HTTP library.
     assert body == b"reply_lost\n"
