Soak: unsound replies, requests that differ by their query, a part deep in prompts

Earlier seeds play what they played. The seeds of the test of all kinds move to 800,000 and on, as only those draw every kind; it asks for as many as before.

--- a/src/boragespring/platform/emulator/service.py
+++ b/src/boragespring/platform/emulator/service.py
@@ -18,6 +18,7 @@
 from boragespring.platform.emulator.catalog import PLAIN_SERVICE
 from boragespring.platform.emulator.crash_point import CrashingRequests, CrashPoint
 from boragespring.platform.emulator.server_work import ServerWork, end_by_crash
+from boragespring.platform.emulator.unsound_replies import make_unsound
 
 __all__ = ["EmulatedService", "ReceivedRequest", "ServiceFault"]
 
@@ -57,6 +58,8 @@
     GARBAGE = auto()
     #: Replies that it is not the expected server.
     OTHER_SERVER = auto()
+    #: Sends a reply whose head is no HTTP, in varying ways.
+    UNSOUND = auto()
 
 
 #: Faults with which a server ends a reply itself before it is complete.
@@ -135,6 +138,8 @@
         Body of the replies with the fault `ERROR`.
     runs : list of str
         Request IDs of all executions, including cancelled ones.
+    unsound_replies : int
+        Number of replies with the fault `UNSOUND`.
     works : list of ServerWork
         What the server did with each request.
     cancelled : list of str
@@ -162,6 +167,7 @@
     load: str = ""
     cold_remaining_ms: str = ""
     error_body: bytes = b""
+    unsound_replies: int = 0
     runs: list[str] = field(factory=list)
     works: list[ServerWork] = field(factory=list)
     cancelled: list[str] = field(factory=list)
@@ -317,6 +323,9 @@
                 writer.write(_encode_reply(200, request_id, self.body, headers))
             case ServiceFault.UNSIGNED:
                 writer.write(_encode_reply(200, request_id, self.body, {}))
+            case ServiceFault.UNSOUND:
+                self.unsound_replies += 1
+                writer.write(make_unsound(complete_reply, self.unsound_replies))
             case ServiceFault.GARBAGE:
                 writer.write(b"\x00\x01 no reply\r\n\r\n")
             case _:
--- a/src/boragespring/platform/soak/breaches.py
+++ b/src/boragespring/platform/soak/breaches.py
@@ -10,6 +10,7 @@
 
     NO_END = "no_end"
     WRONG_ANSWER = "wrong_answer"
+    UNSOUND_ANSWER = "unsound_reply_passed_on"
     WRONG_EVENTS = "wrong_events"
     RAN_TOO_OFTEN = "ran_too_often"
     RAN_THOUGH_REFUSED = "ran_though_refused"
--- a/src/boragespring/platform/soak/callers.py
+++ b/src/boragespring/platform/soak/callers.py
@@ -21,13 +21,22 @@
 TIMEOUT_TOLERANCE_S = 2.0
 EVENTS_MAX = 200
 TOKENS_PER_EVENT = 4
+PROMPT_TOKENS = 200
+PART_TOKENS_MAX = 60
 KEYS = ("key-1", "key-2", "key-3")
 #: Part of the prompts with which a run crashes its engine during some faults, and time
 #: between two requests with it.
 CRASHING_PART = "crashing"
 CRASHING_INTERVAL_S = 0.12
-#: Body of the requests that crash their servers during other faults.
+#: The same part behind many others, of which few have a token.
+DEEP_PART = "crashing-deep"
+PARTS_BEFORE = 40
+#: Body of the requests that crash their servers during other faults, and of those whose
+#: query differs each time.
 CRASHING_BODY = b"crashing"
+VARYING_BODY = b"crashing whatever the query"
+#: Query of the requests without a body that crash their servers. Others differ in it.
+CRASHING_QUERY = "?id=13"
 #: Number of parts with which prompts begin.
 FIRST_PARTS = 3
 #: One caller in this many disconnects early.
@@ -43,6 +52,10 @@
 
 
 METHODS = {RequestKind.BOOK: "POST", RequestKind.LOOK: "GET", RequestKind.DRAFT: "POST"}
+#: Methods and targets of the requests that crash their servers by their query.
+CRASHING_LINES = tuple(
+    f"{method} /{kind.value}/x{CRASHING_QUERY}" for kind, method in METHODS.items()
+)
 
 
 @define(eq=False)
@@ -57,8 +70,10 @@
         Kind of the request.
     key : str
         API key of the caller.
-    request_body : bytes
-        Body of the request; its identifier if empty.
+    request_body : bytes or None
+        Body of the request; None for its identifier.
+    query : str
+        Query of the request, with its question mark.
     parts : tuple of str
         Parts of the prompt that other requests may share; empty for other requests.
     gateway : SoakGateway
@@ -102,7 +117,8 @@
     key: str
     gateway: SoakGateway
     sent_at_s: float
-    request_body: bytes = b""
+    request_body: bytes | None = None
+    query: str = ""
     parts: tuple[str, ...] = ()
     expected_events: int = 0
     gateway_start_count: int = 0
@@ -179,13 +195,21 @@
             if platform.crashing_parts:
                 number += 1
                 record = self._create_crashing(number, RequestKind.DRAFT)
-                record.parts = (f"first-{number % FIRST_PARTS}", CRASHING_PART)
+                parts = _parts_before(number, platform.crashing_parts)
+                record.parts = (*record.parts, *parts, *platform.crashing_parts)
                 group.create_task(self._call(session, record))
-            if platform.crashing.points:
+            for body in platform.crashing.points:
                 number += 1
                 record = self._create_crashing(number, self._crashing_kind)
-                record.parts = (f"first-{number % FIRST_PARTS}",)
-                record.request_body = CRASHING_BODY
+                record.request_body = body
+                record.query = f"?n={number}" if body == VARYING_BODY else ""
+                group.create_task(self._call(session, record))
+            queries = (CRASHING_QUERY, f"?id={number + 100}")
+            for query in queries if platform.crashing.line_points else ():
+                number += 1
+                record = self._create_crashing(number, self._crashing_kind)
+                record.request_body = b""
+                record.query = query
                 group.create_task(self._call(session, record))
 
     def _create_crashing(self, number: int, kind: RequestKind) -> CallRecord:
@@ -200,6 +224,7 @@
             expected_events=EVENTS_MAX // 10 if is_draft else 0,
             gateway_start_count=gateway.start_count,
             was_in_rotation=gateway.is_in_rotation,
+            parts=(f"first-{number % FIRST_PARTS}",),
         )
         self.records.append(record)
         return record
@@ -258,12 +283,15 @@
         }
         if record.expected_events:
             tokens = record.expected_events * TOKENS_PER_EVENT
-            headers[names.TOKEN_COUNTS] = f"200,{tokens}"
+            headers[names.TOKEN_COUNTS] = f"{PROMPT_TOKENS},{tokens}"
             parts = (*record.parts, record.request_id)
-            headers[names.PROMPT_PARTS] = ",".join(f"{part}:60" for part in parts)
-        url = f"{record.gateway.url}/{record.kind.value}/x"
-        # Requests with equal bodies would be the same.
-        body = record.request_body or record.request_id.encode()
+            tokens = min(PART_TOKENS_MAX, PROMPT_TOKENS // len(parts))
+            headers[names.PROMPT_PARTS] = ",".join(f"{part}:{tokens}" for part in parts)
+        url = f"{record.gateway.url}/{record.kind.value}/x{record.query}"
+        body = record.request_body
+        if body is None:
+            # Requests with equal bodies would be the same.
+            body = record.request_id.encode()
         method = METHODS[record.kind]
         async with session.request(method, url, headers=headers, data=body) as response:
             record.status = response.status
@@ -272,3 +300,10 @@
             async for chunk in response.content.iter_any():
                 record.body += chunk
         record.is_complete = record.is_ended = True
+
+
+def _parts_before(number: int, crashing_parts: set[str]) -> tuple[str, ...]:
+    """Return the parts that stand before the one that crashes engines."""
+    if DEEP_PART not in crashing_parts:
+        return ()
+    return tuple(f"before-{number}-{place}" for place in range(PARTS_BEFORE))
--- a/src/boragespring/platform/soak/crash_verdict.py
+++ b/src/boragespring/platform/soak/crash_verdict.py
@@ -8,8 +8,8 @@
 from boragespring.platform.emulator import EmulatedPlatform
 from boragespring.platform.soak.breaches import SoakBreachKind
 from boragespring.platform.soak.callers import (
-    CRASHING_BODY,
     CRASHING_PART,
+    DEEP_PART,
     CallRecord,
     RequestKind,
 )
@@ -57,12 +57,15 @@
     ]
 
 
+def _has_crashing_part(record: CallRecord) -> bool:
+    """Return whether a prompt has a part that crashes engines."""
+    return not {CRASHING_PART, DEEP_PART}.isdisjoint(record.parts)
+
+
 def _arrivals_with_part(
     records: Sequence[CallRecord], platform: EmulatedPlatform
 ) -> list[tuple[float, str]]:
-    with_part = {
-        record.request_id for record in records if CRASHING_PART in record.parts
-    }
+    with_part = {record.request_id for record in records if _has_crashing_part(record)}
     return [
         (at_s, request_id)
         for engine in platform.engines.values()
@@ -100,8 +103,8 @@
     sound = [
         record
         for record in records
-        if CRASHING_PART not in record.parts
-        and record.request_body != CRASHING_BODY
+        if not _has_crashing_part(record)
+        and record.request_body is None
         and record.sent_at_s > first_crash_s
     ]
     reason = RefusalReason.QUARANTINED.value.encode()
--- a/src/boragespring/platform/soak/schedule.py
+++ b/src/boragespring/platform/soak/schedule.py
@@ -56,6 +56,10 @@
     STOP_REPEATED = "gateway_stopped_twice"
     CHANGE_SERIES = "changes_in_series"
     CRASH_SERIES = "crashes_in_series"
+    REPLIES_UNSOUND = "replies_unsound"
+    QUERY_VARIES = "crashing_request_with_varying_query"
+    QUERY_CRASHES = "query_crashes_servers"
+    DEEP_PROMPT_CRASHES = "part_deep_in_prompts_crashes_engines"
 
 
 #: Planned operations, which alone must not truncate any response.
@@ -99,6 +103,17 @@
 #: What happens beside such stops.
 BESIDE_KINDS = (SoakFaultKind.CHANGE_SERIES, SoakFaultKind.CRASH_SERIES)
 REPEAT_KINDS = (SoakFaultKind.STOP_REPEATED,)
+REVIEW_KINDS = (
+    SoakFaultKind.REPLIES_UNSOUND,
+    SoakFaultKind.QUERY_VARIES,
+    SoakFaultKind.QUERY_CRASHES,
+    SoakFaultKind.DEEP_PROMPT_CRASHES,
+)
+REVIEW_SEED_MIN = 800_000
+#: Of the seeds from there on, those with this rest play two faults of that group alone:
+#: beside others, gateways are seldom in touch long enough for their guarantees.
+ALONE_SEED_INTERVAL, ALONE_SEED_REST = 8, 7
+ALONE_FAULTS = 2
 #: Lowest seed with faults of each group of kinds, so that seeds that failed before the
 #: group was added still play what they played then.
 GROUPS = (
@@ -110,9 +125,10 @@
     ("stops", STOP_KINDS, STOP_SEED_MIN),
     ("beside", BESIDE_KINDS, 510_000),
     ("repeats", REPEAT_KINDS, 600_000),
+    ("reviews", REVIEW_KINDS, REVIEW_SEED_MIN),
 )
-#: Groups of which each seed has a fault.
-NEEDED_GROUPS = ("stops",)
+#: Groups of which each seed has a fault, if it may have one.
+NEEDED_GROUPS = ("stops", "reviews")
 GROUP_FAULTS_MAX = 2
 
 FAULTS_MIN, FAULTS_MAX = 2, 4
@@ -133,6 +149,9 @@
     SoakFaultKind.STOP_REPEATED: 10.0,
     SoakFaultKind.CHANGE_SERIES: 10.0,
     SoakFaultKind.CRASH_SERIES: 10.0,
+    SoakFaultKind.QUERY_VARIES: 7.0,
+    SoakFaultKind.QUERY_CRASHES: 7.0,
+    SoakFaultKind.DEEP_PROMPT_CRASHES: 14.0,
 }
 DURATION_MIN_S, DURATION_MAX_S = 0.2, 2.0
 #: Seeds that are a multiple of this number generate planned operations only. Of those
@@ -146,6 +165,9 @@
 
 def generate_faults(seed: int) -> tuple[SoakFault, ...]:
     """Return the faults of a seed; the same seed always gives the same faults."""
+    if seed >= REVIEW_SEED_MIN and seed % ALONE_SEED_INTERVAL == ALONE_SEED_REST:
+        rng = random.Random(f"alone {seed}")
+        return _draw_faults(rng, REVIEW_KINDS, ALONE_FAULTS)
     allowed = _allowed_kinds(seed)
     rng = random.Random(seed)
     grouped = {kind for _, kinds, _ in GROUPS for kind in kinds}
--- a/src/boragespring/platform/soak/server_faults.py
+++ b/src/boragespring/platform/soak/server_faults.py
@@ -20,7 +20,13 @@
     PLAIN_SERVICE,
 )
 from boragespring.platform.names import REGISTRATION_PREFIX
-from boragespring.platform.soak.callers import CRASHING_BODY, CRASHING_PART
+from boragespring.platform.soak.callers import (
+    CRASHING_BODY,
+    CRASHING_LINES,
+    CRASHING_PART,
+    DEEP_PART,
+    VARYING_BODY,
+)
 from boragespring.platform.soak.rate_verdict import NamedRate
 from boragespring.platform.soak.schedule import (
     LONG_DURATIONS_S,
@@ -54,14 +60,25 @@
     CrashPoint(0.02, has_head=True),
     CrashPoint(0.0, has_head=True, events=6),
 )
-#: Faults of a service to inject. These exclude `HANG`, which never replies, and
+#: Faults of a service to inject. These exclude `HANG`, which never replies,
 #: `UNFRAMED_RESET`, which resets the connection after a body without a
-#: ``Content-Length``.
+#: ``Content-Length``, and `UNSOUND`, which has a kind of its own.
 SERVICE_FAULTS = tuple(
     fault
     for fault in ServiceFault
-    if fault not in (ServiceFault.NONE, ServiceFault.HANG, ServiceFault.UNFRAMED_RESET)
+    if fault
+    not in (
+        ServiceFault.NONE,
+        ServiceFault.HANG,
+        ServiceFault.UNFRAMED_RESET,
+        ServiceFault.UNSOUND,
+    )
 )
+#: Parts that crash engines, by the kind of the fault.
+CRASHING_PARTS = {
+    SoakFaultKind.PROMPT_CRASHES: CRASHING_PART,
+    SoakFaultKind.DEEP_PROMPT_CRASHES: DEEP_PART,
+}
 
 
 @define(eq=False)
@@ -85,6 +102,8 @@
     drains: list[ZoneDrain] = field(factory=list)
     cold_times: list[ColdTime] = field(factory=list)
     _has_drained: bool = field(default=False, init=False)
+    _crashing_part: str = field(default="", init=False)
+    _crashing_kind: SoakFaultKind | None = field(default=None, init=False)
     _first_routes: Sequence[RouteSpec] = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -107,6 +126,10 @@
             SoakFaultKind.ROUTES_MOVED: self._move_routes,
             SoakFaultKind.ZONE_DRAINED: self._drain_zone,
             SoakFaultKind.SERVER_COLD: self._turn_cold,
+            SoakFaultKind.REPLIES_UNSOUND: self._queue_unsound_replies,
+            SoakFaultKind.QUERY_VARIES: self._crash_by_request,
+            SoakFaultKind.QUERY_CRASHES: self._crash_by_request,
+            SoakFaultKind.DEEP_PROMPT_CRASHES: self._crash_by_prompt,
         }
 
     async def _drain_zone(self, fault: SoakFault) -> None:
@@ -204,6 +227,13 @@
             for number in range(FAULTY_REPLIES)
         )
 
+    async def _queue_unsound_replies(self, fault: SoakFault) -> None:
+        """Give the next replies of one service heads that are no HTTP."""
+        services = list(self.platform.services.values())
+        service = services[fault.choice % len(services)]
+        service.unsound_replies = fault.choice
+        service.faults.extend([ServiceFault.UNSOUND] * FAULTY_REPLIES)
+
     async def _break_streams(self, fault: SoakFault) -> None:
         """Send streams without a length or chunks, and break some off in an event."""
         engines = list(self.platform.engines.values())
@@ -221,20 +251,39 @@
             services[fault.choice % len(services)].states_leaving = True
 
     async def _crash_by_prompt(self, fault: SoakFault) -> None:
-        """Let runs with one part in their prompts crash their engines."""
-        self.platform.crashing_parts.add(CRASHING_PART)
+        """Let runs with one part in their prompts crash their engines.
+
+        The crashes of a run count for one part, so there is no other in the same run.
+        """
+        part = CRASHING_PARTS[fault.kind]
+        self._crashing_part = self._crashing_part or part
+        if part != self._crashing_part:
+            return
+        self.platform.crashing_parts.add(part)
         await asyncio.sleep(LONG_DURATIONS_S[fault.kind])
         self.platform.crashing_parts.clear()
 
     async def _crash_by_request(self, fault: SoakFault) -> None:
-        """Let the runs of one request crash their servers, unless another one does."""
-        platform = self.platform
-        if platform.crashing.points:
+        """Let the runs of one request crash their servers, unless another one does.
+
+        The crashes of a run count for one request, as those by parts do.
+        """
+        crashing = self.platform.crashing
+        self._crashing_kind = self._crashing_kind or fault.kind
+        is_other = fault.kind is not self._crashing_kind
+        if is_other or crashing.points or crashing.line_points:
             return
         point = CRASH_POINTS[fault.choice % len(CRASH_POINTS)]
-        platform.crashing.points[CRASHING_BODY] = point
+        match fault.kind:
+            case SoakFaultKind.QUERY_CRASHES:
+                crashing.line_points.update(dict.fromkeys(CRASHING_LINES, point))
+            case SoakFaultKind.QUERY_VARIES:
+                crashing.points[VARYING_BODY] = point
+            case _:
+                crashing.points[CRASHING_BODY] = point
         await asyncio.sleep(LONG_DURATIONS_S[fault.kind])
-        platform.crashing.points.clear()
+        crashing.points.clear()
+        crashing.line_points.clear()
 
     async def _name_rate(self, fault: SoakFault) -> None:
         """Let one service name a rate in its replies, unless another one does."""
--- a/src/boragespring/platform/soak/tests/test_callers.py
+++ b/src/boragespring/platform/soak/tests/test_callers.py
@@ -23,7 +23,9 @@
         gateways=[gateway],
         select_gateway=lambda _: gateway,
         platform=SimpleNamespace(
-            host="h", crashing_parts=(), crashing=SimpleNamespace(points=())
+            host="h",
+            crashing_parts=(),
+            crashing=SimpleNamespace(points=(), line_points=()),
         ),
     )
     server.close()
--- a/src/boragespring/platform/soak/tests/test_soak.py
+++ b/src/boragespring/platform/soak/tests/test_soak.py
@@ -35,6 +35,10 @@
 #: Gateways stop in series, read their settings again, and engines leave, while callers
 #: keep their connections. A second SIGTERM comes 3.5 s after the first.
 STOP_SEEDS = (510_000, 600_001)
+#: Replies that are no HTTP; a query that crashes servers beside others that do not; a
+#: part behind 40 others that crashes engines. All three fail on the code before the
+#: second review was acted on.
+REVIEW_SEEDS = (800_007, 800_071, 800_135)
 NEVER_S = float("inf")
 
 
@@ -85,6 +89,7 @@
     (SoakBreachKind.RAN_THOUGH_REFUSED, make_draft([], 5, status=429), {}),
     (SoakBreachKind.WRONG_ANSWER, make_booking(reply_request_id="r2"), {}),
     (SoakBreachKind.WRONG_ANSWER, make_booking(body=b"answer of"), {}),
+    (SoakBreachKind.UNSOUND_ANSWER, make_booking(headers={"X-Unsound": "1"}), {}),
     (SoakBreachKind.WRONG_EVENTS, make_draft([1, 2], 3), {}),
     (SoakBreachKind.WRONG_EVENTS, make_draft([1, 3], 3, is_complete=False), {}),
     (SoakBreachKind.WRONG_EVENTS, make_draft([1, 1], 3, is_complete=False), {}),
@@ -172,7 +177,7 @@
 
 
 def test_seeds_generate_every_kind_and_planned_operations_alone():
-    schedules = [generate_faults(seed) for seed in range(600_000, 600_300)]
+    schedules = [generate_faults(seed) for seed in range(800_000, 800_300)]
     assert kinds_of(schedules) == set(SoakFaultKind)
     assert kinds_of(schedules[::4]) <= PLANNED_KINDS
     assert generate_faults(7) == generate_faults(7)
@@ -214,3 +219,10 @@
     report = await run_soak(seed, tmp_path, network=seed)
     assert not report.breaches, report.describe()
     assert report.endings["status_200"] > 100
+
+
+@pytest.mark.parametrize("seed", REVIEW_SEEDS)
+async def test_gateways_bear_what_the_reviews_found(tmp_path, seed):
+    report = await run_soak(seed, tmp_path, network=seed)
+    assert not report.breaches, report.describe()
+    assert report.endings["status_200"] > 100
--- a/src/boragespring/platform/soak/verdict.py
+++ b/src/boragespring/platform/soak/verdict.py
@@ -8,6 +8,7 @@
 from boragespring.faults import Breach
 from boragespring.platform import names
 from boragespring.platform.emulator import EmulatedPlatform, EmulatedService
+from boragespring.platform.emulator.unsound_replies import UNSOUND_FIELD
 from boragespring.platform.soak.breaches import SoakBreachKind
 from boragespring.platform.soak.callers import CallRecord, RequestKind
 from boragespring.platform.soak.crash_verdict import check_crashes
@@ -113,6 +114,8 @@
 
 
 def _check_reply(record: CallRecord, bodies: set[bytes]) -> Iterable[Finding]:
+    if UNSOUND_FIELD in record.headers:
+        yield SoakBreachKind.UNSOUND_ANSWER, f"reply {record.headers[UNSOUND_FIELD]}"
     if record.status != OK:
         return
     if record.reply_request_id != record.request_id:
