Name what chooses the fault of an unsound reply after what it is

Cause: a number that the soak sets was described as a count of replies. Change: unsound_number. No behaviour changes; the tests of the verdict pass.

--- a/src/boragespring/platform/emulator/service.py
+++ b/src/boragespring/platform/emulator/service.py
@@ -138,8 +138,8 @@
         Body of the replies with the fault `ERROR`.
     runs : list of str
         Request IDs of all executions, including cancelled ones.
-    unsound_replies : int
-        Number of replies with the fault `UNSOUND`.
+    unsound_number : int
+        Number that chooses what is unsound in the next reply with `UNSOUND`.
     works : list of ServerWork
         What the server did with each request.
     cancelled : list of str
@@ -167,7 +167,7 @@
     load: str = ""
     cold_remaining_ms: str = ""
     error_body: bytes = b""
-    unsound_replies: int = 0
+    unsound_number: int = 0
     runs: list[str] = field(factory=list)
     works: list[ServerWork] = field(factory=list)
     cancelled: list[str] = field(factory=list)
@@ -324,8 +324,8 @@
             case ServiceFault.UNSIGNED:
                 writer.write(_encode_reply(200, request_id, self.body, {}))
             case ServiceFault.UNSOUND:
-                self.unsound_replies += 1
-                writer.write(make_unsound(complete_reply, self.unsound_replies))
+                self.unsound_number += 1
+                writer.write(make_unsound(complete_reply, self.unsound_number))
             case ServiceFault.GARBAGE:
                 writer.write(b"\x00\x01 no reply\r\n\r\n")
             case _:
--- a/src/boragespring/platform/soak/server_faults.py
+++ b/src/boragespring/platform/soak/server_faults.py
@@ -231,7 +231,7 @@
         """Give the next replies of one service heads that are no HTTP."""
         services = list(self.platform.services.values())
         service = services[fault.choice % len(services)]
-        service.unsound_replies = fault.choice
+        service.unsound_number = fault.choice
         service.faults.extend([ServiceFault.UNSOUND] * FAULTY_REPLIES)
 
     async def _break_streams(self, fault: SoakFault) -> None:
