--- a/src/boragespring/engines/tests/test_endless_replies.py
+++ b/src/boragespring/engines/tests/test_endless_replies.py
@@ -15,7 +15,7 @@
 
 #: More than this must never be held of one reply.
 MEMORY_MAX_BYTES = 40 * 2**20
-#: Time within which the caller is told, whatever the server goes on to send.
+#: Time within which the caller has an answer, whatever the server goes on to send.
 ANSWER_MAX_S = 10.0
 PIECE = b"x" * 65536
 CHUNKS = b"Transfer-Encoding: chunked\r\n\r\n"
--- a/src/boragespring/platform/soak/schedule.py
+++ b/src/boragespring/platform/soak/schedule.py
@@ -11,6 +11,7 @@
     "GROUPS",
     "LONG_DURATIONS_S",
     "PLANNED_KINDS",
+    "REVIEW_KINDS",
     "SoakFault",
     "SoakFaultKind",
     "generate_faults",
--- a/src/boragespring/platform/soak/tests/test_soak.py
+++ b/src/boragespring/platform/soak/tests/test_soak.py
@@ -12,6 +12,7 @@
 from boragespring.platform.soak.schedule import (
     GROUPS,
     PLANNED_KINDS,
+    REVIEW_KINDS,
     SoakFaultKind,
     generate_faults,
 )
@@ -39,6 +40,9 @@
 #: part behind 40 others that crashes engines. All three fail on the code before the
 #: second review was acted on.
 REVIEW_SEEDS = (800_007, 800_071, 800_135)
+#: Callers had no end of their requests, once each: a stop with a suspension, and four
+#: runs on a crowded machine (KNOWN-RED.txt).
+UNENDED_SEEDS = (800_003, 800_099, 800_115, 800_119, 800_143)
 NEVER_S = float("inf")
 
 
@@ -179,7 +183,9 @@
 def test_seeds_generate_every_kind_and_planned_operations_alone():
     schedules = [generate_faults(seed) for seed in range(800_000, 800_300)]
     assert kinds_of(schedules) == set(SoakFaultKind)
-    assert kinds_of(schedules[::4]) <= PLANNED_KINDS
+    earlier = [generate_faults(seed) for seed in range(600_000, 600_300)]
+    assert kinds_of(earlier) == set(SoakFaultKind) - set(REVIEW_KINDS)
+    assert kinds_of(schedules[::4] + earlier[::4]) <= PLANNED_KINDS
     assert generate_faults(7) == generate_faults(7)
 
 
@@ -221,7 +227,7 @@
     assert report.endings["status_200"] > 100
 
 
-@pytest.mark.parametrize("seed", REVIEW_SEEDS)
+@pytest.mark.parametrize("seed", REVIEW_SEEDS + UNENDED_SEEDS)
 async def test_gateways_bear_what_the_reviews_found(tmp_path, seed):
     report = await run_soak(seed, tmp_path, network=seed)
     assert not report.breaches, report.describe()
