Close the connections that tests left open, and check that none stays

A recorder in __del__ (3.11.6, whole suite) named the tests that leave connections: listeners whose handler was still at work or had ended by an error (test_service_client, test_connection_watch, platform's test_endless_replies), the relay of test_links, and the relay of the fault runs, which forgot a silent connection without closing its sockets.

--- a/conftest.py
+++ b/conftest.py
@@ -1,5 +1,6 @@
 """Settings that all tests share."""
 
+import asyncio
 from pathlib import Path
 
 import pytest
@@ -21,6 +22,19 @@
 settings.load_profile("ci")
 
 
+#: Connections of the current test that are read and written as streams.
+_transports = []
+_init_writer = asyncio.StreamWriter.__init__
+
+
+def _init_known_writer(self, transport, protocol, reader, loop):
+    _init_writer(self, transport, protocol, reader, loop)
+    _transports.append((transport, loop))
+
+
+asyncio.StreamWriter.__init__ = _init_known_writer
+
+
 def _known_red_ids():
     lines = KNOWN_RED.read_text(encoding="utf-8").splitlines()
     return {
@@ -36,3 +50,25 @@
     for item in items:
         if item.nodeid in ids:
             item.add_marker(pytest.mark.xfail(reason="KNOWN-RED.txt", strict=False))
+
+
+@pytest.hookimpl(wrapper=True)
+def pytest_runtest_protocol(item, nextitem):
+    """Keep what a test has opened until the test has ended."""
+    _transports.clear()
+    result = yield
+    _transports.clear()
+    return result
+
+
+@pytest.hookimpl(wrapper=True)
+def pytest_runtest_teardown(item, nextitem):
+    """Fail a test whose event loop has ended before its connections."""
+    result = yield
+    open_count = sum(
+        loop.is_closed() and not transport.is_closing()
+        for transport, loop in _transports
+    )
+    # CPython 3.11.6 raises at such a connection, in whichever test comes next.
+    assert not open_count, f"{open_count} connections outlive their event loop"
+    return result
--- a/src/boragespring/engines/tests/test_endless_replies.py
+++ b/src/boragespring/engines/tests/test_endless_replies.py
@@ -1,7 +1,6 @@
 """Replies without end to an agent are read no further than they can be of use."""
 
 import asyncio
-import contextlib
 import tracemalloc
 
 import pytest
@@ -12,6 +11,7 @@
     create_vllm_client,
     generate,
 )
+from boragespring.http.tests.raw_server import endless_server
 
 #: More than this must never be held of one reply.
 MEMORY_MAX_BYTES = 40 * 2**20
@@ -28,28 +28,6 @@
 }
 
 
-@contextlib.asynccontextmanager
-async def endless_server(form):
-    """Start a server that replies without end; yield its port."""
-
-    async def reply(reader, writer):
-        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
-            await reader.readuntil(b"\r\n\r\n")
-            beginning, piece = FORMS[form]
-            writer.write(beginning)
-            while True:
-                writer.write(piece)
-                await writer.drain()
-                await asyncio.sleep(0)
-        writer.transport.abort()
-
-    server = await asyncio.start_server(reply, "127.0.0.1", 0)
-    try:
-        yield server.sockets[0].getsockname()[1]
-    finally:
-        server.close()
-
-
 CALLS = {
     "call": (create_service_client, call_service),
     "generation": (create_vllm_client, generate),
@@ -61,7 +39,7 @@
 @pytest.mark.parametrize("name", CALLS)
 async def test_endless_reply_is_bounded(name, form):
     create, call = CALLS[name]
-    async with endless_server(form) as port:
+    async with endless_server(*FORMS[form]) as port:
         client = create(f"http://127.0.0.1:{port}")
         tracemalloc.start()
         try:
--- a/src/boragespring/engines/tests/test_service_client.py
+++ b/src/boragespring/engines/tests/test_service_client.py
@@ -12,6 +12,7 @@
     ServiceCall,
     create_service_client,
 )
+from boragespring.http.tests.raw_server import get_port, listening
 from boragespring.standins import ServiceStandIn
 
 CALL = ServiceCall("POST", "/pickups?stop=4", {"Idempotency-Key": "k1"}, b"{}")
@@ -51,17 +52,15 @@
         received.append(await reader.readuntil(b"\r\n\r\n"))
         writer.close()
 
-    server = await asyncio.start_server(break_connection, "127.0.0.1", 0)
-    port = server.sockets[0].getsockname()[1]
-    client = create_service_client(f"http://127.0.0.1:{port}")
-    try:
-        with pytest.raises(CallOutcomeUnknownError):
-            await client.call(ServiceCall(method, "/pickups", {}, b"{}"))
-        await asyncio.sleep(0.05)
-        assert len(received) == 1
-    finally:
-        await client.close()
-        server.close()
+    async with listening(break_connection) as listener:
+        client = create_service_client(f"http://127.0.0.1:{get_port(listener)}")
+        try:
+            with pytest.raises(CallOutcomeUnknownError):
+                await client.call(ServiceCall(method, "/pickups", {}, b"{}"))
+            await asyncio.sleep(0.05)
+            assert len(received) == 1
+        finally:
+            await client.close()
 
 
 async def test_refused_connection_raises_call_not_run(client_and_service):
@@ -81,23 +80,21 @@
         await writer.drain()
         await asyncio.sleep(0.02)
         if end == "crash":
-            server.close()
+            listener.close()
         if end == "reset":
             linger = struct.pack("ii", 1, 0)
             connection = writer.get_extra_info("socket")
             connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
         writer.close()
 
-    server = await asyncio.start_server(reply_without_length, "127.0.0.1", 0)
-    port = server.sockets[0].getsockname()[1]
-    client = create_service_client(f"http://127.0.0.1:{port}")
-    try:
-        if end != "close":
-            with pytest.raises(CallOutcomeUnknownError):
-                await client.call(ServiceCall("POST", "/pickups", {}, b""))
-        else:
-            reply = await client.call(ServiceCall("POST", "/pickups", {}, b""))
-            assert reply.body == b"booked"
-    finally:
-        await client.close()
-        server.close()
+    async with listening(reply_without_length) as listener:
+        client = create_service_client(f"http://127.0.0.1:{get_port(listener)}")
+        try:
+            if end != "close":
+                with pytest.raises(CallOutcomeUnknownError):
+                    await client.call(ServiceCall("POST", "/pickups", {}, b""))
+            else:
+                reply = await client.call(ServiceCall("POST", "/pickups", {}, b""))
+                assert reply.body == b"booked"
+        finally:
+            await client.close()
--- a/src/boragespring/faults/relay.py
+++ b/src/boragespring/faults/relay.py
@@ -109,6 +109,9 @@
             )
         finally:
             self._connections.discard(connection)
+            # Both ends are closed, and nobody else knows these sockets any more.
+            if connection.is_silent:
+                connection.abort()
 
     async def _forward(
         self,
--- a/src/boragespring/http/tests/raw_server.py
+++ b/src/boragespring/http/tests/raw_server.py
@@ -4,6 +4,37 @@
 import contextlib
 
 
+@contextlib.asynccontextmanager
+async def listening(serve):
+    """Serve the connections to a free port; yield the listener.
+
+    At the end no connection is left open, whether its `serve` has ended, is at work or
+    has not begun: in CPython 3.11.6 a writer that outlives its loop raises.
+    """
+    writers, tasks = [], []
+
+    def accept(reader, writer):
+        writers.append(writer)
+        tasks.append(asyncio.create_task(serve(reader, writer)))
+
+    listener = await asyncio.start_server(accept, "127.0.0.1", 0)
+    try:
+        yield listener
+    finally:
+        listener.close()
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        for writer in writers:
+            writer.transport.abort()
+        await asyncio.sleep(0)
+
+
+def get_port(listener):
+    """Return the port of a listener."""
+    return listener.sockets[0].getsockname()[1]
+
+
 @contextlib.asynccontextmanager
 async def raw_server(reply):
     """Start a server; yield its port.
@@ -13,10 +44,7 @@
     one that ends.
     """
 
-    writers = set()
-
     async def serve(reader, writer):
-        writers.add(writer)
         # A gateway also opens connections that carry nothing.
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
             while True:
@@ -29,15 +57,27 @@
                 await writer.drain()
         writer.close()
 
-    server = await asyncio.start_server(serve, "127.0.0.1", 0)
-    try:
-        yield server.sockets[0].getsockname()[1]
-    finally:
-        server.close()
-        for writer in writers:
-            writer.transport.abort()
-        # A writer that outlives its loop raises in CPython 3.11.6.
-        await asyncio.sleep(0)
+    async with listening(serve) as listener:
+        yield get_port(listener)
+
+
+@contextlib.asynccontextmanager
+async def endless_server(beginning, piece):
+    """Start a server that replies with a piece again and again; yield its port."""
+
+    async def reply(reader, writer):
+        # A gateway also opens connections that carry nothing.
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(beginning)
+            while True:
+                writer.write(piece)
+                await writer.drain()
+                await asyncio.sleep(0)
+        writer.transport.abort()
+
+    async with listening(reply) as listener:
+        yield get_port(listener)
 
 
 def replies_with(head, body, create_fields=lambda headers: ""):
--- a/src/boragespring/http/tests/test_connection_watch.py
+++ b/src/boragespring/http/tests/test_connection_watch.py
@@ -1,11 +1,13 @@
 """Idle connections to processes that end."""
 
 import asyncio
+import contextlib
 import math
 
 import pytest
 
 from boragespring.http.connection_watch import watch_connection
+from boragespring.http.tests.raw_server import get_port, listening
 
 
 async def close(reader, writer):
@@ -32,12 +34,9 @@
         done.set()
         writer.close()
 
-    server = await asyncio.start_server(serve, "127.0.0.1", 0)
-    watch = await watch_connection(*server.sockets[0].getsockname())
-    try:
-        await asyncio.sleep(0.1)
-        assert math.isfinite(watch.closed_at_s) == (act is close)
-        assert done.is_set() == (act is not stay_open)
-    finally:
-        watch.close()
-        server.close()
+    async with listening(serve) as listener:
+        watch = await watch_connection("127.0.0.1", get_port(listener))
+        with contextlib.closing(watch):
+            await asyncio.sleep(0.1)
+            assert math.isfinite(watch.closed_at_s) == (act is close)
+            assert done.is_set() == (act is not stay_open)
--- a/src/boragespring/http/tests/test_reply_end.py
+++ b/src/boragespring/http/tests/test_reply_end.py
@@ -1,11 +1,10 @@
 """Framing of replies."""
 
-import asyncio
-
 import aiohttp
 import pytest
 
 from boragespring.http.reply_end import ReplyEnd, ReplyFraming
+from boragespring.http.tests.raw_server import get_port, listening
 
 
 @pytest.mark.parametrize(
@@ -19,13 +18,9 @@
         await writer.drain()
         writer.close()
 
-    server = await asyncio.start_server(serve, "127.0.0.1", 0)
-    port = server.sockets[0].getsockname()[1]
-    try:
-        async with (
-            aiohttp.ClientSession() as session,
-            session.request(method, f"http://127.0.0.1:{port}/") as response,
-        ):
-            assert ReplyEnd(response).framing is framing
-    finally:
-        server.close()
+    async with (
+        listening(serve) as listener,
+        aiohttp.ClientSession() as session,
+        session.request(method, f"http://127.0.0.1:{get_port(listener)}/") as response,
+    ):
+        assert ReplyEnd(response).framing is framing
--- a/src/boragespring/http/tests/test_reply_scan.py
+++ b/src/boragespring/http/tests/test_reply_scan.py
@@ -8,6 +8,7 @@
 from boragespring.http.client_session import create_session
 from boragespring.http.reply_head import UnsoundReplyError
 from boragespring.http.reply_scan import ReplyScan
+from boragespring.http.tests.raw_server import get_port, listening
 from boragespring.http.tests.reply_chunks import SOUND_BODIES, UNSOUND_BODIES
 from boragespring.http.tests.test_reply_head import SIZES, scan
 
@@ -74,14 +75,8 @@
                 await reader.readuntil(b"\r\n\r\n")
                 writer.write(WHOLE)
 
-    server = await asyncio.start_server(serve, "127.0.0.1", 0)
-    try:
-        yield f"http://127.0.0.1:{server.sockets[0].getsockname()[1]}/", connections
-    finally:
-        server.close()
-        for writer in connections:
-            writer.transport.abort()
-        await asyncio.sleep(0)
+    async with listening(serve) as listener:
+        yield f"http://127.0.0.1:{get_port(listener)}/", connections
 
 
 async def read(session, url):
--- a/src/boragespring/links/tests/test_links.py
+++ b/src/boragespring/links/tests/test_links.py
@@ -56,6 +56,7 @@
         self.upstream_port = port
         self.silence_events = []
         self.tasks = set()
+        self.writers = []
 
     async def __aenter__(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
@@ -66,6 +67,8 @@
         self.server.close()
         for task in self.tasks:
             task.cancel()
+        for writer in self.writers:
+            writer.transport.abort()
 
     def silence(self):
         for event in self.silence_events:
@@ -77,6 +80,7 @@
         upstream_reader, upstream_writer = await asyncio.open_connection(
             "127.0.0.1", self.upstream_port
         )
+        self.writers += [writer, upstream_writer]
         for source, sink in ((reader, upstream_writer), (upstream_reader, writer)):
             task = asyncio.create_task(self.forward(source, sink, silent))
             self.tasks.add(task)
--- a/src/boragespring/platform/soak/tests/test_callers.py
+++ b/src/boragespring/platform/soak/tests/test_callers.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from boragespring.http.tests.raw_server import get_port, listening
 from boragespring.platform.soak import callers, kept_callers
 from boragespring.platform.soak.soak_gateway import SoakGateway
 
@@ -16,19 +17,18 @@
         await reader.read()
         writer.close()
 
-    server = await asyncio.start_server(accept, "127.0.0.1", 0)
-    port = server.sockets[0].getsockname()[1]
-    gateway = SoakGateway("g", "127.0.0.1", port, 0, None, None, failed_checks=0)
-    yield SimpleNamespace(
-        gateways=[gateway],
-        select_gateway=lambda _: gateway,
-        platform=SimpleNamespace(
-            host="h",
-            crashing_parts=(),
-            crashing=SimpleNamespace(points=(), line_points=()),
-        ),
-    )
-    server.close()
+    async with listening(accept) as listener:
+        port = get_port(listener)
+        gateway = SoakGateway("g", "127.0.0.1", port, 0, None, None, failed_checks=0)
+        yield SimpleNamespace(
+            gateways=[gateway],
+            select_gateway=lambda _: gateway,
+            platform=SimpleNamespace(
+                host="h",
+                crashing_parts=(),
+                crashing=SimpleNamespace(points=(), line_points=()),
+            ),
+        )
 
 
 # Guards against requests without an end that were recorded as ended, so that no run
--- a/src/boragespring/platform/tests/test_endless_replies.py
+++ b/src/boragespring/platform/tests/test_endless_replies.py
@@ -10,6 +10,7 @@
 
 from boragespring.fleet import BackendServer, Registration, ServerAddress
 from boragespring.forwarding import ForwardingError
+from boragespring.http.tests.raw_server import endless_server, get_port, listening
 from boragespring.platform.emulator.catalog import PLAIN_SERVICE
 from boragespring.platform.server_calls import HttpServerCalls, ServerCallSettings
 from boragespring.platform.store_client import PlatformStore, PlatformStoreSettings
@@ -46,28 +47,6 @@
 }
 
 
-@contextlib.asynccontextmanager
-async def endless_server(form):
-    """Start a server that replies without end; yield its port."""
-
-    async def reply(reader, writer):
-        # A gateway also opens connections that carry nothing.
-        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
-            await reader.readuntil(b"\r\n\r\n")
-            writer.write(HEADS[form])
-            while True:
-                writer.write(PIECES[form])
-                await writer.drain()
-                await asyncio.sleep(0)
-        writer.close()
-
-    server = await asyncio.start_server(reply, "127.0.0.1", 0)
-    try:
-        yield server.sockets[0].getsockname()[1]
-    finally:
-        server.close()
-
-
 @contextlib.contextmanager
 def no_garbage_collection():
     """Keep collections of the objects of all other tests out of a measurement."""
@@ -126,7 +105,7 @@
 @pytest.mark.parametrize("form", HEADS)
 @pytest.mark.parametrize("name", CALLS)
 async def test_endless_reply_of_a_server_is_bounded(name, form):
-    async with endless_server(form) as port:
+    async with endless_server(HEADS[form], PIECES[form]) as port:
         await check_bounds(port, lambda port: call_server(port, CALLS[name]))
 
 
@@ -140,7 +119,7 @@
         finally:
             await store.close()
 
-    async with endless_server(form) as port:
+    async with endless_server(HEADS[form], PIECES[form]) as port:
         await check_bounds(port, read)
 
 
@@ -179,13 +158,10 @@
                 await asyncio.sleep(byte_interval_s)
         writer.close()
 
-    server = await asyncio.start_server(drip, "127.0.0.1", 0)
-    async with deployment(services=0) as platform:
-        port = server.sockets[0].getsockname()[1]
-        platform.register("desk-9", PLAIN_SERVICE, port, 6)
+    async with listening(drip) as listener, deployment(services=0) as platform:
+        platform.register("desk-9", PLAIN_SERVICE, get_port(listener), 6)
         process = platform.gateways[0]
         await wait_until(lambda: log_records(process, "server_joined"))
         began_s = time.monotonic()
         assert await fetch_status(session, process, "/look/x") in (502, 504)
         assert time.monotonic() - began_s < ANSWER_MAX_S
-    server.close()
--- a/src/boragespring/platform/tests/test_endless_workers.py
+++ b/src/boragespring/platform/tests/test_endless_workers.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from boragespring.http.tests.raw_server import get_port, listening
 from boragespring.platform.emulator.catalog import (
     FURTHER_SERVICES,
     STANDARD_ROUTES,
@@ -76,18 +77,11 @@
 async def endless_servers(platform, form):
     """Start and register servers that reply without end."""
     serve = partial(reply_without_end, form)
-    servers = [
-        await asyncio.start_server(serve, "127.0.0.1", 0)
-        for _ in range(ENDLESS_SERVERS)
-    ]
-    for number, server in enumerate(servers):
-        port = server.sockets[0].getsockname()[1]
-        platform.register(f"endless-{number}", ENDLESS_SERVICE, port, SLOTS)
-    try:
+    async with contextlib.AsyncExitStack() as stack:
+        for number in range(ENDLESS_SERVERS):
+            port = get_port(await stack.enter_async_context(listening(serve)))
+            platform.register(f"endless-{number}", ENDLESS_SERVICE, port, SLOTS)
         yield
-    finally:
-        for server in servers:
-            server.close()
 
 
 async def bear(tmp_path, form, path):
--- a/src/boragespring/platform/tests/test_odd_replies.py
+++ b/src/boragespring/platform/tests/test_odd_replies.py
@@ -1,6 +1,5 @@
 """Replies of servers with values that cannot be used."""
 
-import asyncio
 import contextlib
 import json
 from types import SimpleNamespace
@@ -9,6 +8,7 @@
 
 from boragespring.fleet import ServerAddress
 from boragespring.forwarding import CopyRefusedError, ReplyLostError
+from boragespring.http.tests.raw_server import get_port, listening
 from boragespring.platform import names
 from boragespring.platform.server_calls import HttpServerCalls, ServerCallSettings
 from boragespring.platform.statement_codec import decode_statement
@@ -30,13 +30,12 @@
         await writer.drain()
         writer.close()
 
-    listener = await asyncio.start_server(reply, "127.0.0.1", 0)
-    calls = HttpServerCalls(ServerCallSettings())
-    try:
-        yield calls, make_server(*listener.sockets[0].getsockname()[:2])
-    finally:
-        await calls.close()
-        listener.close()
+    async with listening(reply) as listener:
+        calls = HttpServerCalls(ServerCallSettings())
+        try:
+            yield calls, make_server("127.0.0.1", get_port(listener))
+        finally:
+            await calls.close()
 
 
 # Guards against a report whose numbers end the loop that probes all servers.
--- a/src/boragespring/platform/tests/test_unsound_replies.py
+++ b/src/boragespring/platform/tests/test_unsound_replies.py
@@ -6,7 +6,7 @@
 import pytest
 
 from boragespring.forwarding import Attempt, CallerRequest, ReplyLostError
-from boragespring.http.tests.raw_server import raw_server
+from boragespring.http.tests.raw_server import get_port, listening, raw_server
 from boragespring.http.tests.reply_heads import SOUND_HEADS, UNSOUND_HEADS
 from boragespring.platform import names
 from boragespring.platform.emulator.catalog import MODEL_SERVICE, PLAIN_SERVICE
@@ -208,14 +208,13 @@
         await reader.read()
         writer.close()
 
-    server = await asyncio.start_server(serve, "127.0.0.1", 0)
-    port = server.sockets[0].getsockname()[1]
-    store = PlatformStore(PlatformStoreSettings(f"http://127.0.0.1:{port}"))
-    try:
-        await store.get("key")
-        await asyncio.sleep(0.2)
-        found = await store.get("key")
-        assert found.item.value == b""
-    finally:
-        await store.close()
-        server.close()
+    async with listening(serve) as listener:
+        url = f"http://127.0.0.1:{get_port(listener)}"
+        store = PlatformStore(PlatformStoreSettings(url))
+        try:
+            await store.get("key")
+            await asyncio.sleep(0.2)
+            found = await store.get("key")
+            assert found.item.value == b""
+        finally:
+            await store.close()
