--- a/src/boragespring/platform/emulator/engine.py
+++ b/src/boragespring/platform/emulator/engine.py
@@ -10,6 +10,7 @@
 
 from boragespring.platform import names
 from boragespring.platform.emulator.crash_point import CrashingRequests, CrashPoint
+from boragespring.platform.emulator.engine_memory import wait_while_preempted
 from boragespring.platform.emulator.engine_moves import free_copies, move_run
 from boragespring.platform.emulator.engine_replies import (
     create_stream,
@@ -350,7 +351,7 @@
             if run.crash_point and run.event_count >= run.crash_point.events:
                 await self._crash_by_request(run.crash_point)
             await asyncio.sleep(self.spec.event_interval_s)
-            await self._wait_while_preempted(run)
+            await wait_while_preempted(self, run)
             if run.is_moved:
                 return truncate(request, response)
             if self.stalls_after_event and run.event_count == self.stalls_after_event:
@@ -382,30 +383,3 @@
         except ConnectionResetError:
             if not self.keeps_runs:
                 raise
-
-    async def _wait_while_preempted(self, run: EngineRun) -> None:
-        """Preempt a run if it is the newest one and the KV cache is full.
-
-        The only active run is never preempted. Return when the cache has room
-        for the run and its tokens are prefilled again.
-        """
-        if not self._must_wait_for_memory(run):
-            return
-        run.is_preempted = True
-        run.pause()
-        self.preemptions += 1
-        while self._must_wait_for_memory(run):  # noqa: ASYNC110
-            await asyncio.sleep(self.spec.event_interval_s)
-        run.resume()
-        await asyncio.sleep(run.token_count(self.spec) / self.spec.prefill_tokens_per_s)
-        run.is_preempted = False
-
-    def _must_wait_for_memory(self, run: EngineRun) -> bool:
-        used_tokens = self.used_tokens
-        if run.is_preempted:
-            return used_tokens + run.token_count(self.spec) > self.spec.memory_tokens
-        return used_tokens > self.spec.memory_tokens and run is self._newest_run()
-
-    def _newest_run(self) -> EngineRun | None:
-        running = [run for run in self.runs.values() if not run.is_preempted]
-        return running[-1] if len(running) > 1 else None
