Tests: one relay, one endless server, and no error of a server hidden

Cause: read again, the change had written things twice and hidden others. - test_links had a relay of its own, though faults/relay.py has one that falls silent in the same way; it is used now, 45 lines go. - test_endless_workers had a third server that replies without end; it uses that of raw_server.py, which now fills in fields. - `listening` swallowed what failed inside a test's server, so a check there could not fail. It raises now, but for connections that break. - `await_while_it_runs` needed explaining: `await_in_running_time`. conftest.py cleared its list twice for each test.

--- a/conftest.py
+++ b/conftest.py
@@ -54,11 +54,11 @@
 
 @pytest.hookimpl(wrapper=True)
 def pytest_runtest_protocol(item, nextitem):
-    """Keep what a test has opened until the test has ended."""
-    _transports.clear()
-    result = yield
-    _transports.clear()
-    return result
+    """Forget what a test has opened once the test has ended."""
+    try:
+        return (yield)
+    finally:
+        _transports.clear()
 
 
 @pytest.hookimpl(wrapper=True)
--- a/src/boragespring/http/tests/raw_server.py
+++ b/src/boragespring/http/tests/raw_server.py
@@ -3,13 +3,17 @@
 import asyncio
 import contextlib
 
+#: What ends the service of a connection, besides its errors.
+CONNECTION_ENDS = (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError)
+
 
 @contextlib.asynccontextmanager
 async def listening(serve):
     """Serve the connections to a free port; yield the listener.
 
     At the end no connection is left open, whether its `serve` has ended, is at work or
-    has not begun: in CPython 3.11.6 a writer that outlives its loop raises.
+    has not begun: in CPython 3.11.6 a writer that outlives its loop raises. Errors of
+    `serve` are raised then, but for those of connections that break.
     """
     writers, tasks = [], []
 
@@ -24,10 +28,18 @@
         listener.close()
         for task in tasks:
             task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        results = await asyncio.gather(*tasks, return_exceptions=True)
         for writer in writers:
             writer.transport.abort()
         await asyncio.sleep(0)
+        errors = [
+            result
+            for result in results
+            if isinstance(result, BaseException)
+            and not isinstance(result, CONNECTION_ENDS)
+        ]
+        if errors:
+            raise BaseExceptionGroup("errors of a server", errors)
 
 
 def get_port(listener):
@@ -35,6 +47,14 @@
     return listener.sockets[0].getsockname()[1]
 
 
+async def read_head(reader):
+    """Return the method, the target and the headers of the next request."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode()
+    line, *lines = head.rstrip("\r\n").split("\r\n")
+    method, target, _ = line.split(" ")
+    return method, target, dict(each.split(": ", 1) for each in lines)
+
+
 @contextlib.asynccontextmanager
 async def raw_server(reply):
     """Start a server; yield its port.
@@ -48,10 +68,7 @@
         # A gateway also opens connections that carry nothing.
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
             while True:
-                head = (await reader.readuntil(b"\r\n\r\n")).decode()
-                line, *lines = head.rstrip("\r\n").split("\r\n")
-                method, target, _ = line.split(" ")
-                headers = dict(each.split(": ", 1) for each in lines)
+                method, target, headers = await read_head(reader)
                 await reader.readexactly(int(headers.get("Content-Length", "0")))
                 writer.write(reply(method, target, headers))
                 await writer.drain()
@@ -62,14 +79,19 @@
 
 
 @contextlib.asynccontextmanager
-async def endless_server(beginning, piece):
-    """Start a server that replies with a piece again and again; yield its port."""
+async def endless_server(beginning, piece, create_fields=lambda headers: ""):
+    """Start a server that replies with a piece again and again; yield its port.
+
+    `create_fields` returns the lines that take the place of ``{fields}``, given the
+    headers of a request.
+    """
 
     async def reply(reader, writer):
         # A gateway also opens connections that carry nothing.
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
-            await reader.readuntil(b"\r\n\r\n")
-            writer.write(beginning)
+            _, _, headers = await read_head(reader)
+            fields = create_fields(headers).encode()
+            writer.write(beginning.replace(b"{fields}", fields))
             while True:
                 writer.write(piece)
                 await writer.drain()
--- a/src/boragespring/links/tests/test_links.py
+++ b/src/boragespring/links/tests/test_links.py
@@ -9,6 +9,7 @@
 from prometheus_client import CollectorRegistry
 
 from boragespring.external_values import check_integer
+from boragespring.faults.relay import Relay
 from boragespring.links import (
     CallFailedError,
     Dispatcher,
@@ -49,50 +50,6 @@
     return Identity(PROTOCOL_VERSION, name, "entry", 1, "quito-a")
 
 
-class SilenceableRelay:
-    """TCP relay that can stop forwarding on the connections open at that time."""
-
-    def __init__(self, port):
-        self.upstream_port = port
-        self.silence_events = []
-        self.tasks = set()
-        self.writers = []
-
-    async def __aenter__(self):
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
-        self.port = self.server.sockets[0].getsockname()[1]
-        return self
-
-    async def __aexit__(self, *_):
-        self.server.close()
-        for task in self.tasks:
-            task.cancel()
-        for writer in self.writers:
-            writer.transport.abort()
-
-    def silence(self):
-        for event in self.silence_events:
-            event.set()
-
-    async def serve(self, reader, writer):
-        silent = asyncio.Event()
-        self.silence_events.append(silent)
-        upstream_reader, upstream_writer = await asyncio.open_connection(
-            "127.0.0.1", self.upstream_port
-        )
-        self.writers += [writer, upstream_writer]
-        for source, sink in ((reader, upstream_writer), (upstream_reader, writer)):
-            task = asyncio.create_task(self.forward(source, sink, silent))
-            self.tasks.add(task)
-
-    async def forward(self, source, sink, silent):
-        with contextlib.suppress(OSError):
-            while data := await source.read(65536):
-                if not silent.is_set():
-                    sink.write(data)
-            sink.close()
-
-
 @contextlib.asynccontextmanager
 async def linked_pair(server_dispatcher, relay=False):
     metrics = LinkMetrics(CollectorRegistry())
@@ -105,7 +62,9 @@
         port = server.port
         tcp_relay = None
         if relay:
-            tcp_relay = await stack.enter_async_context(SilenceableRelay(port))
+            tcp_relay = Relay("127.0.0.1", port)
+            await tcp_relay.start()
+            stack.push_async_callback(tcp_relay.stop)
             port = tcp_relay.port
         client_metrics = LinkMetrics(CollectorRegistry())
         dialer = LinkDialer(
--- a/src/boragespring/platform/soak/callers.py
+++ b/src/boragespring/platform/soak/callers.py
@@ -12,13 +12,13 @@
 from boragespring.platform import names
 from boragespring.platform.soak.deployment import SoakDeployment
 from boragespring.platform.soak.soak_gateway import SoakGateway
-from boragespring.platform.soak.suspension import await_while_it_runs
+from boragespring.platform.soak.suspension import await_in_running_time
 
 __all__ = ["CallRecord", "Callers", "RequestKind"]
 
 BUFFERED_TIME_REMAINING_S = 1.5
 STREAM_TIME_REMAINING_S = 12.0
-#: Time beyond the deadline of a request after which its caller gives up. Times for
+#: Time beyond the deadline of a request after which its caller closes. Times for
 #: which the run suspends the gateway don't count.
 TIMEOUT_TOLERANCE_S = 2.0
 EVENTS_MAX = 200
@@ -263,7 +263,7 @@
             suspensions = []
         call = self._send_request(session, record, remaining_s)
         try:
-            await await_while_it_runs(call, suspensions, timeout_s)
+            await await_in_running_time(call, suspensions, timeout_s)
         except aiohttp.ClientError as error:
             record.is_ended = True
             record.is_connection_refused = isinstance(
--- a/src/boragespring/platform/soak/kept_callers.py
+++ b/src/boragespring/platform/soak/kept_callers.py
@@ -25,7 +25,7 @@
     encode_head,
 )
 from boragespring.platform.soak.soak_gateway import SoakGateway
-from boragespring.platform.soak.suspension import await_while_it_runs
+from boragespring.platform.soak.suspension import await_in_running_time
 
 __all__ = ["KeptCallers"]
 
@@ -93,7 +93,7 @@
         while connection.is_open and not self._is_ending:
             record = self._create_record(gateway, connection)
             try:
-                await await_while_it_runs(
+                await await_in_running_time(
                     connection.exchange(self._pieces(record), record),
                     gateway.suspensions,
                     record.time_remaining_s + TIMEOUT_TOLERANCE_S,
--- a/src/boragespring/platform/soak/suspension.py
+++ b/src/boragespring/platform/soak/suspension.py
@@ -1,4 +1,4 @@
-"""Times for which a run suspends its gateways, and how callers bear them."""
+"""Times for which a run suspends its gateways, and how long callers wait then."""
 
 import asyncio
 import time
@@ -7,7 +7,7 @@
 
 from attrs import define
 
-__all__ = ["Suspension", "await_while_it_runs", "suspended_s"]
+__all__ = ["Suspension", "await_in_running_time", "suspended_s"]
 
 
 @define
@@ -31,7 +31,7 @@
     )
 
 
-async def await_while_it_runs(
+async def await_in_running_time(
     call: Coroutine[Any, Any, None],
     suspensions: Iterable[Suspension],
     timeout_s: float,
--- a/src/boragespring/platform/soak/tests/test_suspension.py
+++ b/src/boragespring/platform/soak/tests/test_suspension.py
@@ -7,7 +7,7 @@
 
 from boragespring.platform.soak.suspension import (
     Suspension,
-    await_while_it_runs,
+    await_in_running_time,
     suspended_s,
 )
 
@@ -20,7 +20,7 @@
     """Return the time waited for a call, and whether it ended in time."""
     began_s = time.monotonic()
     try:
-        await await_while_it_runs(asyncio.sleep(call_s), suspensions, TIMEOUT_S)
+        await await_in_running_time(asyncio.sleep(call_s), suspensions, TIMEOUT_S)
     except TimeoutError:
         return time.monotonic() - began_s, False
     return time.monotonic() - began_s, True
@@ -58,7 +58,7 @@
         raise ConnectionError
 
     with pytest.raises(ConnectionError):
-        await await_while_it_runs(fail(), [], TIMEOUT_S)
+        await await_in_running_time(fail(), [], TIMEOUT_S)
 
 
 def test_suspensions_add_up_from_a_time_on():
--- a/src/boragespring/platform/tests/test_endless_workers.py
+++ b/src/boragespring/platform/tests/test_endless_workers.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from boragespring.http.tests.raw_server import get_port, listening
+from boragespring.http.tests.raw_server import endless_server
 from boragespring.platform.emulator.catalog import (
     FURTHER_SERVICES,
     STANDARD_ROUTES,
@@ -58,28 +58,14 @@
 }
 
 
-async def reply_without_end(form, reader, writer):
-    """Write one of the forms to a connection until it is closed."""
-    # A gateway also opens connections that carry nothing.
-    with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
-        lines = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
-        headers = dict(line.split(": ", 1) for line in lines[1:] if line)
-        text, piece = FORMS[form]
-        writer.write(text.replace("{fields}", create_fields(headers)).encode())
-        while True:
-            writer.write(piece)
-            await writer.drain()
-            await asyncio.sleep(0)
-    writer.transport.abort()
-
-
 @contextlib.asynccontextmanager
 async def endless_servers(platform, form):
     """Start and register servers that reply without end."""
-    serve = partial(reply_without_end, form)
+    text, piece = FORMS[form]
     async with contextlib.AsyncExitStack() as stack:
         for number in range(ENDLESS_SERVERS):
-            port = get_port(await stack.enter_async_context(listening(serve)))
+            server = endless_server(text.encode(), piece, create_fields)
+            port = await stack.enter_async_context(server)
             platform.register(f"endless-{number}", ENDLESS_SERVICE, port, SLOTS)
         yield
 
