--- a/review/rig_3.py
+++ b/review/rig_3.py
@@ -120,9 +120,13 @@
 
     async def start(self) -> None:
         """Start the process and wait until it is ready."""
-        role = tomllib.loads((ROOT / "deploy/system.toml").read_text())["roles"]["gateway"]
+        role = tomllib.loads((ROOT / "deploy/system.toml").read_text())["roles"][
+            "gateway"
+        ]
         env = {
-            name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ
+            name: os.environ[name]
+            for name in ("PATH", "HOME", "LANG")
+            if name in os.environ
         }
         env |= role.get("env", {})
         env["PYTHONPATH"] = "target/deps"
@@ -140,7 +144,9 @@
         try:
             async with asyncio.timeout(1):
                 reader, writer = await asyncio.open_connection(self.ip, self.ready)
-                writer.write(b"GET /readiness HTTP/1.1\r\nHost: r\r\nConnection: close\r\n\r\n")
+                writer.write(
+                    b"GET /readiness HTTP/1.1\r\nHost: r\r\nConnection: close\r\n\r\n"
+                )
                 line = await reader.readline()
                 writer.close()
                 return b" 200 " in line
@@ -173,7 +179,9 @@
 class Rig:
     """Store, servers and gateways of one run."""
 
-    def __init__(self, gateways: int = 1, memory_mb: int = 150, **platform: object) -> None:
+    def __init__(
+        self, gateways: int = 1, memory_mb: int = 150, **platform: object
+    ) -> None:
         self.platform = EmulatedPlatform(**platform)
         self.gateways: list[GatewayProcess] = []
         self._count = gateways
