--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -5,7 +5,7 @@
 set -eu
 cd "$(dirname "$0")/.."
 test -d target/deps/boragespring || sh deploy/build
-PYTHONPATH=target/deps python3 -c "import boragespring.platform.emulator"
+PYTHONDONTWRITEBYTECODE=1 PYTHONPATH=target/deps python3 -c "import boragespring.platform.emulator"
 python3 - <<'PY'
 import pathlib
 
